--- /dev/null
+++ b/crates/control/src/configuration.rs
@@ -0,0 +1,107 @@
+//! Follows the declared configuration in the store.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use adapter::{CONFIGURATION_KEY, Event, WatchOutcome, decode_configuration};
+use serde_json::Value;
+
+use crate::clock::now_ms;
+use crate::node::Node;
+
+/// How long one watch waits: each that ends confirms the configuration, so this bounds how old that can be.
+const WATCH_WAIT_MS: u64 = 1_000;
+
+/// How long a call may take beyond its waiting.
+const CALL_TIMEOUT_MS: u64 = 900;
+
+/// The pause after a call that failed.
+const RETRY_PAUSE_MS: u64 = 150;
+
+/// Follows the configuration until the process ends.
+pub(crate) async fn follow_configuration(node: Arc<Node>) {
+    let mut reachable = true;
+    loop {
+        let result = read_and_watch(&node).await;
+        if let Err(why) = result {
+            if reachable {
+                node.log
+                    .general("store", "contact lost", &[("why", Value::from(why))]);
+            }
+            reachable = false;
+            tokio::time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
+        } else if !reachable {
+            node.log.general("store", "contact regained", &[]);
+            reachable = true;
+        }
+    }
+}
+
+/// Reads the configuration, then watches it until the watch has to be begun anew.
+async fn read_and_watch(node: &Arc<Node>) -> Result<(), String> {
+    let sent_ms = now_ms();
+    let item = node
+        .store
+        .read(CONFIGURATION_KEY, CALL_TIMEOUT_MS, true)
+        .await
+        .map_err(|e| e.to_string())?;
+    let Some(item) = item else {
+        return Err("no configuration is declared".to_string());
+    };
+    let mut after = item.revision;
+    take(node, &item.value, item.revision, sent_ms);
+    loop {
+        let sent_ms = now_ms();
+        let timeout_ms = WATCH_WAIT_MS + CALL_TIMEOUT_MS;
+        match node
+            .store
+            .watch(CONFIGURATION_KEY, after, WATCH_WAIT_MS, timeout_ms)
+            .await
+        {
+            Ok(WatchOutcome::Compacted) => return Ok(()),
+            Err(e) => return Err(e.to_string()),
+            // Going on from the last change seen, not from the answer's revision, brings a change that the watch
+            // missed while it was deaf.
+            Ok(WatchOutcome::Events(events, _)) => {
+                node.contact.confirm(sent_ms);
+                for event in events {
+                    if let Event::Written(item) = event
+                        && item.key == CONFIGURATION_KEY
+                    {
+                        after = after.max(item.revision);
+                        take(node, &item.value, item.revision, sent_ms);
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Puts a configuration into force.
+pub(crate) fn take(node: &Node, value: &[u8], revision: u64, sent_ms: u64) {
+    let configuration = match decode_configuration(value) {
+        Ok(configuration) => configuration,
+        Err(e) => {
+            let fields = [
+                ("revision", Value::from(revision)),
+                ("why", Value::from(e.to_string())),
+            ];
+            node.log.general(
+                "configuration",
+                "unreadable, the last one stays in force",
+                &fields,
+            );
+            return;
+        }
+    };
+    let (version, queues) = (configuration.version, configuration.queues.len());
+    if node.contact.adopt(configuration, revision, sent_ms) {
+        node.configuration_changed.notify_waiters();
+        let fields = [
+            ("version", Value::from(version)),
+            ("revision", Value::from(revision)),
+            ("queues", Value::from(queues)),
+        ];
+        node.log.general("configuration", "in force", &fields);
+    }
+}
--- /dev/null
+++ b/crates/control/src/contact.rs
@@ -0,0 +1,67 @@
+//! When the configuration in force was last confirmed by the store.
+
+use std::sync::Mutex;
+
+use scheduler::Configuration;
+use std::sync::Arc;
+
+/// A configuration, and the revision of the store that holds it.
+#[derive(Debug, Clone)]
+pub(crate) struct InForce {
+    pub configuration: Arc<Configuration>,
+    pub revision: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    in_force: Option<InForce>,
+    /// When the last call was sent that confirmed it.
+    confirmed_ms: u64,
+}
+
+/// The configuration in force, and how fresh it is known to be.
+#[derive(Debug, Default)]
+pub(crate) struct Contact {
+    state: Mutex<State>,
+}
+
+impl Contact {
+    /// A configuration was read by a call sent at `sent_ms`; true if it is newer than the one in force.
+    pub fn adopt(&self, configuration: Configuration, revision: u64, sent_ms: u64) -> bool {
+        let Ok(mut state) = self.state.lock() else {
+            return false;
+        };
+        state.confirmed_ms = state.confirmed_ms.max(sent_ms);
+        let newer = state.in_force.as_ref().is_none_or(|now| {
+            revision > now.revision && configuration.version >= now.configuration.version
+        });
+        if newer {
+            state.in_force = Some(InForce {
+                configuration: Arc::new(configuration),
+                revision,
+            });
+        }
+        newer
+    }
+
+    /// A call sent at `sent_ms` showed that nothing has changed.
+    pub fn confirm(&self, sent_ms: u64) {
+        if let Ok(mut state) = self.state.lock() {
+            state.confirmed_ms = state.confirmed_ms.max(sent_ms);
+        }
+    }
+
+    /// The configuration, if it was confirmed since `since_ms`.
+    pub fn in_force(&self, since_ms: u64) -> Option<InForce> {
+        let state = self.state.lock().ok()?;
+        if state.confirmed_ms < since_ms {
+            return None;
+        }
+        state.in_force.clone()
+    }
+
+    /// The configuration, however old.
+    pub fn latest(&self) -> Option<InForce> {
+        self.state.lock().ok()?.in_force.clone()
+    }
+}
--- /dev/null
+++ b/crates/control/src/flush.rs
@@ -0,0 +1,177 @@
+//! Writes the planner's records, each write on condition that the lead is held and that no other write came between.
+
+use std::collections::{HashSet, VecDeque};
+use std::time::Duration;
+
+use adapter::{CallError, Precondition, Put, Txn, TxnOutcome};
+use scheduler::{Flush, JobId, RecordWrite};
+
+use crate::clock::{now_ms, unix_ms};
+use crate::keys;
+use crate::metrics::{Counter, Timing};
+use crate::takeover::Term;
+
+/// How long a write may take before it is made again on a new connection.
+const CALL_TIMEOUT_MS: u64 = 900;
+
+/// The pause before a write is made again.
+const RETRY_PAUSE_MS: u64 = 50;
+
+/// Added to the time for which an ended job can be asked for, before its record goes.
+const KEEP_MARGIN_MS: u64 = 60_000;
+
+/// Records of ended jobs that go in one write at most, so that a backlog does not delay other writes.
+const MOST_REMOVALS: usize = 8;
+
+/// Writes in order, one after the other.
+#[derive(Debug)]
+pub(crate) struct Flusher {
+    /// The revision of the last write.
+    chain: u64,
+    /// Numbers this planner's writes.
+    number: u64,
+    /// Jobs that the store no longer counts as waiting.
+    begun: HashSet<JobId>,
+    /// Ended jobs, by the time of their end.
+    ended: VecDeque<(JobId, u64)>,
+}
+
+impl Flusher {
+    /// A writer that goes on from the last write of the predecessor.
+    pub fn new(chain: u64) -> Flusher {
+        Flusher {
+            chain,
+            number: 0,
+            begun: HashSet::new(),
+            ended: VecDeque::new(),
+        }
+    }
+
+    /// Jobs that are over, with the time of their end.
+    pub fn note_ended(&mut self, mut ended: Vec<(JobId, u64)>) {
+        ended.sort_by_key(|(_, ended_unix_ms)| *ended_unix_ms);
+        self.ended.extend(ended);
+    }
+
+    /// Brings the records of a flush into the store; an error says why this planner cannot go on.
+    pub async fn write(&mut self, term: &Term, flush: &Flush) -> Result<(), String> {
+        let mut txn = self.begin(term);
+        for write in &flush.writes {
+            let (puts, removals) = self.entries(write)?;
+            if txn.entries() + puts.len() + removals.len() > Txn::MOST_ENTRIES {
+                self.commit(term, txn).await?;
+                txn = self.begin(term);
+            }
+            txn.puts.extend(puts);
+            txn.removals.extend(removals);
+        }
+        let keep_ms = term.node.settings.bounds.keep_ended_s * 1000 + KEEP_MARGIN_MS;
+        let due = |ended: &VecDeque<(JobId, u64)>| {
+            ended
+                .front()
+                .is_some_and(|(_, at)| at + keep_ms < unix_ms())
+        };
+        let mut gone = 0;
+        while gone < MOST_REMOVALS && txn.entries() < Txn::MOST_ENTRIES && due(&self.ended) {
+            if let Some((id, _)) = self.ended.pop_front() {
+                txn.removals.push(keys::record(id));
+                gone += 1;
+            }
+        }
+        match txn.puts.len() + txn.removals.len() > 1 {
+            true => self.commit(term, txn).await,
+            false => Ok(()),
+        }
+    }
+
+    /// A write without records: its conditions, and the next link of the chain.
+    fn begin(&self, term: &Term) -> Txn {
+        Txn {
+            conditions: vec![
+                Precondition {
+                    key: keys::LEAD.to_string(),
+                    revision: term.lead.revision,
+                },
+                Precondition {
+                    key: keys::CHAIN.to_string(),
+                    revision: self.chain,
+                },
+            ],
+            puts: vec![Put {
+                key: keys::CHAIN.to_string(),
+                value: Vec::new(),
+                lease: None,
+            }],
+            removals: Vec::new(),
+        }
+    }
+
+    /// The entries of one job's record.
+    fn entries(&mut self, write: &RecordWrite) -> Result<(Vec<Put>, Vec<String>), String> {
+        let value = serde_json::to_vec(&write.record)
+            .map_err(|e| format!("record of {}: {e}", write.job))?;
+        let puts = vec![Put {
+            key: keys::record(write.job),
+            value,
+            lease: None,
+        }];
+        let mut removals = Vec::new();
+        if write.begun && self.begun.insert(write.job) {
+            removals.push(keys::waiting(write.job));
+        }
+        if write.over {
+            self.begun.remove(&write.job);
+            self.ended
+                .push_back((write.job, write.record.ended_unix_ms));
+            removals.push(keys::job(write.job));
+            removals.push(keys::cancel(write.job));
+        }
+        Ok((puts, removals))
+    }
+
+    /// Makes one write, again and again until its outcome is known.
+    async fn commit(&mut self, term: &Term, mut txn: Txn) -> Result<(), String> {
+        self.number += 1;
+        let name = format!("{}:{}", term.lead.term, self.number).into_bytes();
+        if let Some(link) = txn.puts.first_mut() {
+            link.value = name.clone();
+        }
+        let node = &term.node;
+        let mut fresh = false;
+        loop {
+            let sent_ms = now_ms();
+            node.metrics.count(Counter::StoreCalls);
+            let result = node.store.change(&txn, CALL_TIMEOUT_MS, fresh).await;
+            node.metrics
+                .record(Timing::StoreCall, now_ms().saturating_sub(sent_ms));
+            match result {
+                Ok(TxnOutcome::Done(revision)) => {
+                    self.chain = revision;
+                    return Ok(());
+                }
+                Ok(TxnOutcome::NoLease) => return Err("the store's lease has ended".to_string()),
+                Ok(TxnOutcome::Conflict(items)) => {
+                    let held = items
+                        .iter()
+                        .any(|i| i.key == keys::LEAD && i.revision == term.lead.revision);
+                    let link = items
+                        .iter()
+                        .find(|i| i.key == keys::CHAIN && i.value == name);
+                    match (held, link) {
+                        // An earlier call of the same write was carried out after all.
+                        (true, Some(link)) => {
+                            self.chain = link.revision;
+                            return Ok(());
+                        }
+                        (true, None) => return Err("another write came between".to_string()),
+                        (false, _) => return Err("another node has the lead".to_string()),
+                    }
+                }
+                Err(CallError::NotDone(_)) => node.metrics.count(Counter::StoreRetriesNotDone),
+                Err(_) => node.metrics.count(Counter::StoreRetriesUnknown),
+            }
+            fresh = true;
+            tokio::time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/holds.rs
@@ -0,0 +1,86 @@
+//! Renews one worker's lease, confirms its ends, and learns what runs there.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use adapter::{Hold, WorkerReply};
+use scheduler::{WorkerEntry, WorkerKey};
+
+use crate::clock::now_ms;
+use crate::metrics::Counter;
+use crate::takeover::Term;
+
+/// How long a renewal waits at the worker for an end; the platform's page allows this much.
+const WAIT_MS: u64 = 2_000;
+
+/// How long to wait for ends to be stored before the worker is asked again.
+const STORING_MS: u64 = 300;
+
+/// The pause after a renewal that got no answer.
+const RETRY_PAUSE_MS: u64 = 100;
+
+/// Goes on until the worker's life or the term is over.
+pub(crate) async fn hold_worker(term: Arc<Term>, key: WorkerKey) {
+    let mut fresh = false;
+    let mut first = true;
+    while let Some((entry, hold)) = next_hold(&term, key, first || fresh) {
+        let result = term.node.workers.hold(&entry, hold, now_ms, fresh).await;
+        fresh = false;
+        match result {
+            Ok(Ok(report)) => {
+                first = false;
+                let stored = term.stored.notified();
+                tokio::pin!(stored);
+                stored.as_mut().enable();
+                let waits = {
+                    let mut planner = term.planner();
+                    planner.take_report(key, &report);
+                    planner.has_unstored_ends(key)
+                };
+                term.wake.notify_one();
+                if waits {
+                    let _ = tokio::time::timeout(Duration::from_millis(STORING_MS), stored).await;
+                }
+            }
+            Ok(Err(WorkerReply::OlderTerm)) => {
+                term.planner().note_later_term();
+                term.wake.notify_one();
+                return;
+            }
+            Ok(Err(WorkerReply::OtherLife)) => {
+                term.planner()
+                    .drop_life(key, "another life answers at its address", now_ms());
+                term.wake.notify_one();
+                return;
+            }
+            other => {
+                let refused = matches!(&other, Err(e) if e.is_not_done());
+                term.node.metrics.count(Counter::HoldsUnanswered);
+                term.planner().note_silence(key, refused);
+                fresh = true;
+                tokio::time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
+            }
+        }
+    }
+}
+
+/// What the next renewal says; none once the worker's life is over.
+fn next_hold(term: &Term, key: WorkerKey, at_once: bool) -> Option<(WorkerEntry, Hold)> {
+    let mut planner = term.planner();
+    let entry = planner.entry(key)?.clone();
+    let lease_end_clock_ms = match planner.is_occupied(key) {
+        true => planner.grant_lease(key),
+        false => None,
+    };
+    let hold = Hold {
+        term: term.lead.term,
+        lease_end_clock_ms,
+        ends_confirmed: planner.confirmed_ends(key),
+        wait_ms: if at_once || planner.has_unstored_ends(key) {
+            0
+        } else {
+            WAIT_MS
+        },
+    };
+    Some((entry, hold))
+}
--- /dev/null
+++ b/crates/control/src/intake.rs
@@ -0,0 +1,212 @@
+//! Takes a job in: one write to the store, on condition that the configuration is the one that was checked.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use adapter::{CONFIGURATION_KEY, CallError, Precondition, Put, Txn, TxnOutcome, decode_job};
+use poem::http::StatusCode;
+use scheduler::{JobId, JobRequest, JobState, StoredJob};
+use serde_json::Value;
+
+use crate::clock::now_ms;
+use crate::configuration::take;
+use crate::contact::InForce;
+use crate::keys;
+use crate::metrics::{Counter, Timing};
+use crate::node::Node;
+use crate::requests::{Call, Reply};
+
+/// How long one store call of a request may take before it is made again on a new connection.
+pub(crate) const CALL_TIMEOUT_MS: u64 = 700;
+
+/// The pause before a call is made again that the store did not carry out.
+const RETRY_PAUSE_MS: u64 = 40;
+
+/// Calls that the store certainly did not carry out, before the caller is refused.
+const MOST_NOT_DONE: u32 = 3;
+
+/// Takes in a job that a caller hands in.
+pub(crate) async fn accept_job(node: &Arc<Node>, call: &Call, id: JobId, body: &[u8]) -> Reply {
+    let request = match decode_job(body) {
+        Ok(request) => request,
+        Err(e) => {
+            return Reply::refused(
+                StatusCode::BAD_REQUEST,
+                Counter::RefusedMalformed,
+                e.to_string(),
+            );
+        }
+    };
+    let mut tries = Tries::default();
+    loop {
+        let Some(now) = node.contact.latest() else {
+            let detail = "no configuration is known";
+            return Reply::refused(
+                StatusCode::SERVICE_UNAVAILABLE,
+                Counter::RefusedNoConfiguration,
+                detail,
+            );
+        };
+        let txn = match build_txn(&now, call, id, &request) {
+            Ok(txn) => txn,
+            Err(reply) => return reply,
+        };
+        match change_store(node, call, &txn, &mut tries).await {
+            Ok(TxnOutcome::Done(revision)) => {
+                node.metrics.count(Counter::JobsAccepted);
+                let fields = [
+                    ("revision", Value::from(revision)),
+                    ("configuration", Value::from(now.configuration.version)),
+                    (
+                        "took_ms",
+                        Value::from(now_ms().saturating_sub(call.arrived_ms)),
+                    ),
+                ];
+                node.log
+                    .request("intake", "accepted", &id.to_string(), &fields);
+                return Reply::State(JobState::Pending);
+            }
+            Ok(TxnOutcome::Conflict(items)) => {
+                let (job, record) = (keys::job(id), keys::record(id));
+                if items
+                    .iter()
+                    .any(|item| item.key == job || item.key == record)
+                {
+                    node.metrics.count(Counter::JobsKnown);
+                    return Reply::State(JobState::Pending);
+                }
+                let newer = items
+                    .iter()
+                    .find(|i| i.key == CONFIGURATION_KEY && i.revision > now.revision);
+                if let Some(item) = newer {
+                    take(node, &item.value, item.revision, call.arrived_ms);
+                }
+            }
+            Ok(TxnOutcome::NoLease) => {}
+            Err(reply) => return reply,
+        }
+        if now_ms() >= call.answer_by_ms {
+            return tries.give_up("the configuration kept changing");
+        }
+    }
+}
+
+/// The write that accepts a job; checks the caller against the configuration that is its condition.
+fn build_txn(now: &InForce, call: &Call, id: JobId, request: &JobRequest) -> Result<Txn, Reply> {
+    let Some((queue, _)) = now.configuration.find_queue(&call.host, &call.path) else {
+        let detail = "no queue has that host and path";
+        return Err(Reply::refused(
+            StatusCode::NOT_FOUND,
+            Counter::RefusedNoQueue,
+            detail,
+        ));
+    };
+    let Ok(organisation) = now.configuration.admit_caller(queue, call.key.as_deref()) else {
+        return Err(Reply::refused(
+            StatusCode::UNAUTHORIZED,
+            Counter::RefusedKey,
+            "the key is not known",
+        ));
+    };
+    let stored = StoredJob {
+        id,
+        queue: queue.name.clone(),
+        organisation,
+        service: queue.service.clone(),
+        priority: queue.priority,
+        attempts: queue.attempts,
+        advice: queue.advice,
+        request: request.clone(),
+    };
+    let value = serde_json::to_vec(&stored).map_err(|e| {
+        Reply::refused(
+            StatusCode::BAD_REQUEST,
+            Counter::RefusedMalformed,
+            e.to_string(),
+        )
+    })?;
+    let absent = |key: String| Precondition { key, revision: 0 };
+    Ok(Txn {
+        conditions: vec![
+            Precondition {
+                key: CONFIGURATION_KEY.to_string(),
+                revision: now.revision,
+            },
+            absent(keys::job(id)),
+            absent(keys::record(id)),
+        ],
+        puts: vec![
+            Put {
+                key: keys::job(id),
+                value,
+                lease: None,
+            },
+            Put {
+                key: keys::waiting(id),
+                value: queue.name.clone().into_bytes(),
+                lease: None,
+            },
+        ],
+        removals: Vec::new(),
+    })
+}
+
+/// How often a request's store calls have failed, and whether one of them may still be carried out.
+#[derive(Debug, Default)]
+pub(crate) struct Tries {
+    not_done: u32,
+    unknown: bool,
+}
+
+impl Tries {
+    /// The final answer of a request that is given up.
+    pub fn give_up(&self, why: &str) -> Reply {
+        match self.unknown {
+            true => Reply::OutcomeUnknown,
+            false => Reply::refused(StatusCode::SERVICE_UNAVAILABLE, Counter::RefusedStore, why),
+        }
+    }
+}
+
+/// Changes the store for a request; makes the call again while that can help and the caller waits.
+pub(crate) async fn change_store(
+    node: &Node,
+    call: &Call,
+    txn: &Txn,
+    tries: &mut Tries,
+) -> Result<TxnOutcome, Reply> {
+    let mut fresh = false;
+    loop {
+        let left_ms = call.answer_by_ms.saturating_sub(now_ms());
+        if left_ms == 0 {
+            return Err(tries.give_up("the store did not answer in time"));
+        }
+        let sent_ms = now_ms();
+        node.metrics.count(Counter::StoreCalls);
+        let result = node
+            .store
+            .change(txn, CALL_TIMEOUT_MS.min(left_ms), fresh)
+            .await;
+        node.metrics
+            .record(Timing::StoreCall, now_ms().saturating_sub(sent_ms));
+        let error = match result {
+            Ok(outcome) => return Ok(outcome),
+            Err(error) => error,
+        };
+        fresh = true;
+        match error {
+            CallError::NotDone(why) => {
+                node.metrics.count(Counter::StoreRetriesNotDone);
+                tries.not_done += 1;
+                if tries.not_done >= MOST_NOT_DONE {
+                    return Err(tries.give_up(&why));
+                }
+            }
+            CallError::Unknown(_) | CallError::Unreadable(_) => {
+                node.metrics.count(Counter::StoreRetriesUnknown);
+                tries.unknown = true;
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
+    }
+}
--- /dev/null
+++ b/crates/control/src/job_calls.rs
@@ -0,0 +1,221 @@
+//! Answers for jobs that were taken in: their state, their cancelling, how many wait.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use adapter::{CONFIGURATION_KEY, Item, Precondition, Put, Txn, TxnOutcome};
+use poem::http::StatusCode;
+use scheduler::{JobId, JobRecord, JobState};
+use serde_json::Value;
+
+use crate::clock::now_ms;
+use crate::configuration::take;
+use crate::intake::{CALL_TIMEOUT_MS, Tries, change_store};
+use crate::keys;
+use crate::metrics::Counter;
+use crate::node::Node;
+use crate::requests::{Call, Reply};
+
+/// How old the counts of waiting jobs may be; the platform allows 2 s.
+const WAITING_FRESH_MS: u64 = 900;
+
+/// The pause before a read is made again.
+const RETRY_PAUSE_MS: u64 = 40;
+
+/// Reads that fail before the caller is refused.
+const MOST_FAILED_READS: u32 = 3;
+
+/// Jobs of which nothing has begun, by queue.
+#[derive(Debug, Default)]
+pub(crate) struct WaitingCounts {
+    /// When the read that they come from was sent.
+    read_ms: u64,
+    counts: HashMap<String, usize>,
+}
+
+/// Reads an item for a request, again on a new connection if the store does not answer.
+async fn read_item(node: &Node, call: &Call, key: &str) -> Result<Option<Item>, Reply> {
+    let mut failed = 0;
+    loop {
+        let left_ms = call.answer_by_ms.saturating_sub(now_ms());
+        node.metrics.count(Counter::StoreCalls);
+        let why = match node
+            .store
+            .read(key, CALL_TIMEOUT_MS.min(left_ms.max(1)), failed > 0)
+            .await
+        {
+            Ok(item) => return Ok(item),
+            Err(e) => e.to_string(),
+        };
+        failed += 1;
+        node.metrics.count(Counter::StoreRetriesNotDone);
+        if failed >= MOST_FAILED_READS || now_ms() >= call.answer_by_ms {
+            return Err(Reply::refused(
+                StatusCode::SERVICE_UNAVAILABLE,
+                Counter::RefusedStore,
+                why,
+            ));
+        }
+        tokio::time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
+    }
+}
+
+/// A job's state as its record says; none if the record cannot be read.
+fn state_of(node: &Node, id: JobId, item: &Item) -> Result<JobState, Reply> {
+    let record: JobRecord = serde_json::from_slice(&item.value).map_err(|e| {
+        let fields = [
+            ("key", Value::from(item.key.as_str())),
+            ("why", Value::from(e.to_string())),
+        ];
+        node.log
+            .request("intake", "record unreadable", &id.to_string(), &fields);
+        Reply::refused(
+            StatusCode::SERVICE_UNAVAILABLE,
+            Counter::RefusedStore,
+            "the job's record cannot be read",
+        )
+    })?;
+    if record.state.is_final() {
+        node.remember_final(id, record.state);
+    }
+    Ok(record.state)
+}
+
+/// Answers for a job's state.
+pub(crate) async fn read_state(node: &Arc<Node>, call: &Call, id: JobId) -> Reply {
+    find_state(node, call, id).await.map_or_else(
+        |reply| reply,
+        |state| state.map_or(Reply::Gone, Reply::State),
+    )
+}
+
+/// A job's state; none if there is no such job.
+async fn find_state(node: &Node, call: &Call, id: JobId) -> Result<Option<JobState>, Reply> {
+    if let Some(state) = node.known_final(id) {
+        return Ok(Some(state));
+    }
+    let record = keys::record(id);
+    if let Some(item) = read_item(node, call, &record).await? {
+        return state_of(node, id, &item).map(Some);
+    }
+    if read_item(node, call, &keys::job(id)).await?.is_some() {
+        return Ok(Some(JobState::Pending));
+    }
+    // The job may have begun and ended between the two reads: then there is a record now.
+    match read_item(node, call, &record).await? {
+        Some(item) => state_of(node, id, &item).map(Some),
+        None => Ok(None),
+    }
+}
+
+/// Cancels a job.
+pub(crate) async fn cancel_job(node: &Arc<Node>, call: &Call, id: JobId) -> Reply {
+    match try_cancel(node, call, id).await {
+        Ok(reply) | Err(reply) => reply,
+    }
+}
+
+async fn try_cancel(node: &Node, call: &Call, id: JobId) -> Result<Reply, Reply> {
+    if let Some(state) = node.known_final(id) {
+        return Ok(Reply::State(state));
+    }
+    let mut tries = Tries::default();
+    loop {
+        let Some(now) = node.contact.latest() else {
+            return Err(tries.give_up("no configuration is known"));
+        };
+        let allowed = now
+            .configuration
+            .find_queue(&call.host, &call.path)
+            .is_some_and(|(queue, _)| {
+                now.configuration
+                    .admit_caller(queue, call.key.as_deref())
+                    .is_ok()
+            });
+        if !allowed {
+            return Err(Reply::refused(
+                StatusCode::UNAUTHORIZED,
+                Counter::RefusedKey,
+                "the key is not known",
+            ));
+        }
+        let Some(job) = read_item(node, call, &keys::job(id)).await? else {
+            let state = find_state(node, call, id).await?;
+            return Ok(state.map_or(Reply::Gone, Reply::State));
+        };
+        let txn = Txn {
+            conditions: vec![
+                Precondition {
+                    key: CONFIGURATION_KEY.to_string(),
+                    revision: now.revision,
+                },
+                Precondition {
+                    key: job.key.clone(),
+                    revision: job.revision,
+                },
+            ],
+            puts: vec![Put {
+                key: keys::cancel(id),
+                value: Vec::new(),
+                lease: None,
+            }],
+            removals: Vec::new(),
+        };
+        match change_store(node, call, &txn, &mut tries).await? {
+            TxnOutcome::Done(revision) => {
+                let fields = [("revision", Value::from(revision))];
+                node.log
+                    .request("intake", "cancelled", &id.to_string(), &fields);
+                return Ok(Reply::State(JobState::Cancelled));
+            }
+            TxnOutcome::Conflict(items) => {
+                let newer = items
+                    .iter()
+                    .find(|i| i.key == CONFIGURATION_KEY && i.revision > now.revision);
+                if let Some(item) = newer {
+                    take(node, &item.value, item.revision, call.arrived_ms);
+                }
+            }
+            TxnOutcome::NoLease => {}
+        }
+        if now_ms() >= call.answer_by_ms {
+            return Err(tries.give_up("the job kept changing"));
+        }
+    }
+}
+
+/// Answers for how many jobs of a queue have not begun.
+pub(crate) async fn count_waiting(node: &Arc<Node>, queue: &str, call: &Call) -> Reply {
+    if let Some(count) = fresh_count(node, queue, now_ms().saturating_sub(WAITING_FRESH_MS)) {
+        return Reply::Waiting(count);
+    }
+    let read_ms = now_ms();
+    node.metrics.count(Counter::StoreCalls);
+    let timeout_ms = CALL_TIMEOUT_MS.min(call.answer_by_ms.saturating_sub(read_ms).max(1));
+    match node.store.read_all(keys::WAITING_PREFIX, timeout_ms).await {
+        Ok((items, _)) => {
+            let mut counts: HashMap<String, usize> = HashMap::new();
+            for item in items {
+                *counts
+                    .entry(String::from_utf8_lossy(&item.value).into_owned())
+                    .or_default() += 1;
+            }
+            if let Ok(mut waiting) = node.waiting.lock() {
+                *waiting = WaitingCounts { read_ms, counts };
+            }
+            fresh_count(node, queue, 0).map_or(Reply::Waiting(0), Reply::Waiting)
+        }
+        Err(e) => Reply::refused(
+            StatusCode::SERVICE_UNAVAILABLE,
+            Counter::RefusedStore,
+            e.to_string(),
+        ),
+    }
+}
+
+/// How many jobs of a queue wait, if that was read since `since_ms`.
+fn fresh_count(node: &Node, queue: &str, since_ms: u64) -> Option<usize> {
+    let waiting = node.waiting.lock().ok()?;
+    (waiting.read_ms > since_ms).then(|| waiting.counts.get(queue).copied().unwrap_or(0))
+}
--- /dev/null
+++ b/crates/control/src/lead.rs
@@ -0,0 +1,183 @@
+//! Who plans: the node whose key stands in the store, under a lease.
+//!
+//! The revision at which that key was created is the planner's term: it is unique and rises. Every write of the planner
+//! is made on condition that the key is still the one it created.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use adapter::{CallError, Event, Item, Precondition, Put, Txn, TxnOutcome, WatchOutcome};
+use serde_json::Value;
+
+use crate::clock::now_ms;
+use crate::keys;
+use crate::metrics::Counter;
+use crate::node::Node;
+use crate::takeover::run_term;
+
+/// How long the lead lasts without renewal: long enough for two renewals that get no answer from a slow store.
+pub(crate) const LEAD_TTL_MS: u64 = 2_500;
+
+/// How often it is renewed.
+pub(crate) const RENEW_EVERY_MS: u64 = 500;
+
+/// Taken off the lease, so that this node stops before the store lets another one in.
+pub(crate) const LEASE_MARGIN_MS: u64 = 150;
+
+/// How long one watch of the lead waits.
+const WATCH_WAIT_MS: u64 = 5_000;
+
+/// How long a call may take beyond its waiting.
+const CALL_TIMEOUT_MS: u64 = 900;
+
+/// The pause after a call that failed.
+const RETRY_PAUSE_MS: u64 = 150;
+
+/// A node waits this many times the duration of a store call before it takes the lead, so that nodes near the store
+/// come first.
+const DISTANCE_FACTOR: u64 = 5;
+
+/// The longest such wait.
+const LONGEST_DISTANCE_WAIT_MS: u64 = 300;
+
+/// A lead that this node holds.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Lead {
+    /// The store lease that it stands under.
+    pub lease: u64,
+    /// The planner's term.
+    pub term: u64,
+    /// The lead's key as it was written.
+    pub revision: u64,
+    /// Until when it is certainly held.
+    pub valid_until_ms: u64,
+}
+
+/// Takes the lead whenever no other node has it, and plans while it is held.
+pub(crate) async fn campaign(node: Arc<Node>) {
+    let mut nonce = 0;
+    loop {
+        nonce += 1;
+        let name = format!("{} {} {nonce}", node.settings.name, now_ms());
+        match try_once(&node, &name).await {
+            Ok(Some(lead)) => {
+                node.metrics.count(Counter::LeadsTaken);
+                node.log
+                    .general("lead", "taken", &[("term", Value::from(lead.term))]);
+                hold_lease(&node, Some(lead.lease));
+                let why = run_term(node.clone(), lead).await;
+                hold_lease(&node, None);
+                node.metrics.count(Counter::LeadsLost);
+                let fields = [("term", Value::from(lead.term)), ("why", Value::from(why))];
+                node.log.general("lead", "lost", &fields);
+            }
+            Ok(None) => {}
+            Err(_) => tokio::time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await,
+        }
+        if node.is_stopping() {
+            return;
+        }
+    }
+}
+
+fn hold_lease(node: &Node, lease: Option<u64>) {
+    if let Ok(mut held) = node.lead_lease.lock() {
+        *held = lease;
+    }
+}
+
+/// Gives the lead up at once, for a planned stop.
+pub(crate) async fn release_lead(node: &Node) {
+    let lease = node.lead_lease.lock().ok().and_then(|held| *held);
+    if let Some(lease) = lease
+        && let Err(e) = node.store.end_lease(lease, CALL_TIMEOUT_MS).await
+    {
+        node.log.general(
+            "lead",
+            "not released, it will run out",
+            &[("why", Value::from(e.to_string()))],
+        );
+    }
+}
+
+/// Waits until nobody holds the lead, and tries to take it.
+async fn try_once(node: &Node, name: &str) -> Result<Option<Lead>, CallError> {
+    if let Some(item) = node.store.read(keys::LEAD, CALL_TIMEOUT_MS, true).await? {
+        wait_for_removal(node, item.revision).await?;
+    }
+    if node.is_stopping() || node.contact.latest().is_none() {
+        tokio::time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
+        return Ok(None);
+    }
+    let sent_ms = now_ms();
+    let (lease, ttl_ms) = node
+        .store
+        .take_lease(
+            LEAD_TTL_MS.max(node.settings.shortest_lease_ms),
+            CALL_TIMEOUT_MS,
+        )
+        .await?;
+    let took_ms = now_ms().saturating_sub(sent_ms);
+    tokio::time::sleep(Duration::from_millis(
+        (took_ms * DISTANCE_FACTOR).min(LONGEST_DISTANCE_WAIT_MS),
+    ))
+    .await;
+    let valid_until_ms = sent_ms + ttl_ms.saturating_sub(LEASE_MARGIN_MS);
+    let lead = |item: &Item| Lead {
+        lease,
+        term: item.created,
+        revision: item.revision,
+        valid_until_ms,
+    };
+    let txn = Txn {
+        conditions: vec![Precondition {
+            key: keys::LEAD.to_string(),
+            revision: 0,
+        }],
+        puts: vec![Put {
+            key: keys::LEAD.to_string(),
+            value: name.as_bytes().to_vec(),
+            lease: Some(lease),
+        }],
+        removals: Vec::new(),
+    };
+    match node.store.change(&txn, CALL_TIMEOUT_MS, false).await {
+        Ok(TxnOutcome::Done(revision)) => Ok(Some(Lead {
+            lease,
+            term: revision,
+            revision,
+            valid_until_ms,
+        })),
+        Ok(TxnOutcome::Conflict(_) | TxnOutcome::NoLease) => Ok(None),
+        Err(e) if e.is_not_done() => Err(e),
+        // The call may have been carried out: the key then holds this attempt's name.
+        Err(_) => {
+            let item = node.store.read(keys::LEAD, CALL_TIMEOUT_MS, true).await?;
+            Ok(item
+                .filter(|item| item.value == name.as_bytes())
+                .map(|item| lead(&item)))
+        }
+    }
+}
+
+/// Waits until the lead's key is removed, or the watch has to be begun anew.
+async fn wait_for_removal(node: &Node, revision: u64) -> Result<(), CallError> {
+    loop {
+        let timeout_ms = WATCH_WAIT_MS + CALL_TIMEOUT_MS;
+        match node
+            .store
+            .watch(keys::LEAD_PREFIX, revision, WATCH_WAIT_MS, timeout_ms)
+            .await?
+        {
+            WatchOutcome::Compacted => return Ok(()),
+            WatchOutcome::Events(events, _) => {
+                let removed = events
+                    .last()
+                    .is_some_and(|event| matches!(event, Event::Removed(..)));
+                if removed || !events.is_empty() {
+                    return Ok(());
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,28 @@
+//! A node on the platform: takes callers' jobs, answers for them, and plans while it holds the lead.
+//!
+//! [`serve`] runs a node until it is stopped. What lasts is kept in the platform's store under the keys of [`keys`];
+//! the decisions are those of the `scheduler` package.
+
+mod clock;
+mod configuration;
+mod contact;
+mod flush;
+mod holds;
+mod intake;
+mod job_calls;
+mod keys;
+mod lead;
+mod listing;
+mod log;
+mod metrics;
+mod node;
+mod orders;
+mod requests;
+mod settings;
+mod stop;
+mod takeover;
+
+pub use log::Log;
+pub use metrics::{Counter, Metrics, Timing};
+pub use node::{ServeError, serve};
+pub use settings::{Finding, Settings};
--- /dev/null
+++ b/crates/control/src/log.rs
@@ -0,0 +1,122 @@
+//! Structured logs: one JSON object a line on standard output, written by a thread of its own.
+//!
+//! Writing never blocks the caller: what does not fit into the queue is counted, and the count is told once there is
+//! room again.
+
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+
+use serde_json::{Map, Value};
+
+use crate::clock::{now_ms, unix_ms};
+
+/// Lines that may wait for a slow reader of standard output.
+const QUEUED_LINES: usize = 2_048;
+
+/// General lines, which concern no single request, in a second at most; the rest is counted.
+const GENERAL_LINES_PER_S: u64 = 200;
+
+/// Writes structured lines.
+#[derive(Debug, Clone)]
+pub struct Log {
+    node: Arc<str>,
+    lines: SyncSender<String>,
+    dropped: Arc<AtomicU64>,
+    /// The second that is counted, and the general lines in it.
+    second: Arc<AtomicU64>,
+    general: Arc<AtomicU64>,
+    suppressed: Arc<AtomicU64>,
+}
+
+impl Log {
+    /// Starts the thread that writes.
+    pub fn start(node: &str) -> std::io::Result<Log> {
+        let (lines, queue) = sync_channel(QUEUED_LINES);
+        let dropped = Arc::new(AtomicU64::new(0));
+        let lost = dropped.clone();
+        std::thread::Builder::new()
+            .name("log".to_string())
+            .stack_size(64 * 1024)
+            .spawn(move || write_lines(&queue, &lost))?;
+        Ok(Log {
+            node: node.into(),
+            lines,
+            dropped,
+            second: Arc::new(AtomicU64::new(0)),
+            general: Arc::new(AtomicU64::new(0)),
+            suppressed: Arc::new(AtomicU64::new(0)),
+        })
+    }
+
+    /// Lines that were not written, for want of room or to bound the volume.
+    pub fn suppressed(&self) -> u64 {
+        self.suppressed.load(Ordering::Relaxed) + self.dropped.load(Ordering::Relaxed)
+    }
+
+    /// A line about one request.
+    pub fn request(&self, part: &str, what: &str, id: &str, fields: &[(&str, Value)]) {
+        let mut line = self.line(part, what);
+        line.insert("id".to_string(), Value::from(id));
+        self.send(line, fields);
+    }
+
+    /// A line about the process and what it believes.
+    pub fn general(&self, part: &str, what: &str, fields: &[(&str, Value)]) {
+        let second = now_ms() / 1000;
+        if self.second.swap(second, Ordering::Relaxed) != second {
+            let before = self.general.swap(0, Ordering::Relaxed);
+            if before > GENERAL_LINES_PER_S {
+                let line = self.line("log", "lines suppressed");
+                self.send(
+                    line,
+                    &[("count", Value::from(before - GENERAL_LINES_PER_S))],
+                );
+            }
+        }
+        if self.general.fetch_add(1, Ordering::Relaxed) >= GENERAL_LINES_PER_S {
+            self.suppressed.fetch_add(1, Ordering::Relaxed);
+            return;
+        }
+        let line = self.line(part, what);
+        self.send(line, fields);
+    }
+
+    fn line(&self, part: &str, what: &str) -> Map<String, Value> {
+        let mut line = Map::new();
+        line.insert("at_unix_ms".to_string(), Value::from(unix_ms()));
+        line.insert("node".to_string(), Value::from(self.node.as_ref()));
+        line.insert("part".to_string(), Value::from(part));
+        line.insert("what".to_string(), Value::from(what));
+        line
+    }
+
+    fn send(&self, mut line: Map<String, Value>, fields: &[(&str, Value)]) {
+        for (name, value) in fields {
+            line.insert((*name).to_string(), value.clone());
+        }
+        if let Err(TrySendError::Full(_)) = self.lines.try_send(Value::Object(line).to_string()) {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+/// Writes lines until all senders are gone.
+fn write_lines(queue: &Receiver<String>, dropped: &AtomicU64) {
+    let mut out = std::io::stdout();
+    let mut told = 0;
+    while let Ok(line) = queue.recv() {
+        // A reader that has gone away is no reason to stop serving.
+        let _ = writeln!(out, "{line}");
+        let lost = dropped.load(Ordering::Relaxed);
+        if lost > told {
+            let _ = writeln!(
+                out,
+                "{{\"part\":\"log\",\"what\":\"lines dropped\",\"count\":{}}}",
+                lost - told
+            );
+            told = lost;
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/node.rs
@@ -0,0 +1,152 @@
+//! A node: its parts, and its life from start to stop.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+
+use adapter::{CallError, HttpCaller, HttpLimits, StoreClient, WorkerClient};
+use poem::Server;
+use poem::listener::TcpListener;
+use scheduler::{JobId, JobState};
+use serde_json::Value;
+use thiserror::Error;
+use tokio::sync::Notify;
+
+use crate::configuration::follow_configuration;
+use crate::contact::Contact;
+use crate::job_calls::WaitingCounts;
+use crate::lead::{campaign, release_lead};
+use crate::log::Log;
+use crate::metrics::Metrics;
+use crate::requests::{Front, MetricsPage, Readiness};
+use crate::settings::Settings;
+use crate::stop::{StopSignals, wait_until_idle};
+
+/// How long a connection may take to open; the way between two regions and back takes 24 ms.
+const CONNECT_TIMEOUT_MS: u64 = 500;
+
+/// Connections kept open to one address while unused: one that waits at a worker, one for orders.
+const IDLE_PER_HOST: usize = 2;
+
+/// How long a worker may take to answer an order.
+const ORDER_TIMEOUT_MS: u64 = 700;
+
+/// Final states that a node remembers at most.
+const MOST_FINAL_STATES: usize = 8_192;
+
+/// A node that cannot start or go on.
+#[derive(Debug, Error)]
+pub enum ServeError {
+    /// The HTTP client cannot be built.
+    #[error("http client: {0}")]
+    Client(#[from] CallError),
+    /// An address cannot be served.
+    #[error("serving: {0}")]
+    Io(#[from] std::io::Error),
+    /// The histograms cannot be built.
+    #[error("metrics: {0}")]
+    Metrics(#[from] hdrhistogram::CreationError),
+}
+
+/// What the parts of a node share.
+#[derive(Debug)]
+pub(crate) struct Node {
+    pub settings: Settings,
+    pub store: StoreClient,
+    pub workers: WorkerClient,
+    pub contact: Contact,
+    pub configuration_changed: Notify,
+    pub log: Log,
+    pub metrics: Metrics,
+    /// Whether a planned stop is under way.
+    pub stopping: AtomicBool,
+    /// Requests that are being answered.
+    pub active: AtomicUsize,
+    /// The store lease of the lead, while this node holds it.
+    pub lead_lease: Mutex<Option<u64>>,
+    pub waiting: Mutex<WaitingCounts>,
+    final_states: Mutex<HashMap<JobId, JobState>>,
+}
+
+impl Node {
+    /// The oldest confirmation of the configuration that calls with a key may rest on.
+    pub fn oldest_confirmation_ms(&self, now_ms: u64) -> u64 {
+        // The platform counts a node as out of touch after 0.6 of this bound.
+        now_ms.saturating_sub(self.settings.bounds.revoke_ms * 6 / 10)
+    }
+
+    /// Remembers a state that stays.
+    pub fn remember_final(&self, id: JobId, state: JobState) {
+        if let Ok(mut states) = self.final_states.lock() {
+            if states.len() >= MOST_FINAL_STATES {
+                states.clear();
+            }
+            states.insert(id, state);
+        }
+    }
+
+    /// A state that stays, if it is known.
+    pub fn known_final(&self, id: JobId) -> Option<JobState> {
+        self.final_states.lock().ok()?.get(&id).copied()
+    }
+
+    /// Whether a planned stop is under way.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+}
+
+/// Runs a node until it is stopped by a signal.
+pub async fn serve(settings: Settings, log: Log) -> Result<(), ServeError> {
+    let limits = HttpLimits {
+        connect_timeout_ms: CONNECT_TIMEOUT_MS,
+        idle_per_host: IDLE_PER_HOST,
+    };
+    let http = HttpCaller::new(limits)?;
+    let node = Arc::new(Node {
+        store: StoreClient::new(&settings.store.to_string(), http.clone()),
+        workers: WorkerClient::new(http, ORDER_TIMEOUT_MS),
+        contact: Contact::default(),
+        configuration_changed: Notify::new(),
+        metrics: Metrics::new()?,
+        stopping: AtomicBool::new(false),
+        active: AtomicUsize::new(0),
+        lead_lease: Mutex::new(None),
+        waiting: Mutex::new(WaitingCounts::default()),
+        final_states: Mutex::new(HashMap::new()),
+        log,
+        settings,
+    });
+    let fields = [
+        (
+            "data_centre",
+            Value::from(node.settings.data_centre.as_str()),
+        ),
+        ("region", Value::from(node.settings.region.as_str())),
+    ];
+    node.log.general("node", "started", &fields);
+    let signals = StopSignals::listen()?;
+    tokio::spawn(follow_configuration(node.clone()));
+    tokio::spawn(campaign(node.clone()));
+    let front = tokio::spawn(
+        Server::new(TcpListener::bind(node.settings.callers)).run(Front(node.clone())),
+    );
+    let readiness = tokio::spawn(
+        Server::new(TcpListener::bind(node.settings.readiness)).run(Readiness(node.clone())),
+    );
+    let metrics = tokio::spawn(
+        Server::new(TcpListener::bind(node.settings.metrics)).run(MetricsPage(node.clone())),
+    );
+    tokio::select! {
+        result = front => return Ok(result.map_err(std::io::Error::other)??),
+        result = readiness => return Ok(result.map_err(std::io::Error::other)??),
+        result = metrics => return Ok(result.map_err(std::io::Error::other)??),
+        () = signals.wait(&node.log) => {}
+    }
+    node.stopping.store(true, Ordering::Relaxed);
+    node.log.general("node", "stopping", &[]);
+    release_lead(&node).await;
+    wait_until_idle(&node).await;
+    node.log.general("node", "stopped", &[]);
+    Ok(())
+}
--- /dev/null
+++ b/crates/control/src/requests.rs
@@ -0,0 +1,282 @@
+//! Callers' HTTP: which queue a call is for, whether it may be made, and its answer.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use adapter::{encode_state, encode_waiting, read_headers, refusal_body};
+use poem::http::{Method, StatusCode};
+use poem::{Endpoint, Request, Response};
+use scheduler::{Denied, JobId, JobState};
+use serde_json::Value;
+
+use crate::clock::now_ms;
+use crate::intake::accept_job;
+use crate::job_calls::{cancel_job, count_waiting, read_state};
+use crate::metrics::{Counter, Timing};
+use crate::node::Node;
+
+/// How long a caller waits that does not say so; the budget of all kinds of request today.
+const DEFAULT_WAIT_MS: u64 = 3_000;
+
+/// Kept free of a caller's time for the way back.
+const ANSWER_MARGIN_MS: u64 = 250;
+
+/// When a caller may come back after a refusal: the configuration and the store are looked at that often.
+const RETRY_AFTER_S: u64 = 1;
+
+/// One call, as far as it has been understood.
+#[derive(Debug, Clone)]
+pub(crate) struct Call {
+    /// When it arrived.
+    pub arrived_ms: u64,
+    /// When its answer has to leave.
+    pub answer_by_ms: u64,
+    /// The caller's key.
+    pub key: Option<String>,
+    /// The host and path that it names.
+    pub host: String,
+    pub path: String,
+}
+
+/// What a call comes to.
+#[derive(Debug)]
+pub(crate) enum Reply {
+    /// A job's state.
+    State(JobState),
+    /// How many jobs wait.
+    Waiting(usize),
+    /// No such job.
+    Gone,
+    /// Turned away, and certainly not carried out.
+    Refused {
+        status: StatusCode,
+        reason: Counter,
+        detail: String,
+    },
+    /// Whether it was carried out is not known.
+    OutcomeUnknown,
+}
+
+impl Reply {
+    pub fn refused(status: StatusCode, reason: Counter, detail: impl Into<String>) -> Reply {
+        Reply::Refused {
+            status,
+            reason,
+            detail: detail.into(),
+        }
+    }
+}
+
+/// Serves callers.
+pub(crate) struct Front(pub Arc<Node>);
+
+impl Endpoint for Front {
+    type Output = Response;
+
+    async fn call(&self, request: Request) -> poem::Result<Response> {
+        let node = &self.0;
+        node.active.fetch_add(1, Ordering::Relaxed);
+        let _active = Active(node);
+        let response = answer(node, request).await;
+        Ok(response)
+    }
+}
+
+/// Counts a call as answered when dropped.
+struct Active<'n>(&'n Node);
+
+impl Drop for Active<'_> {
+    fn drop(&mut self) {
+        self.0.active.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+async fn answer(node: &Arc<Node>, mut request: Request) -> Response {
+    let headers = request.headers().clone();
+    let header = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    let said = read_headers(header);
+    let arrived_ms = now_ms();
+    let waits_ms = said.waits_ms.unwrap_or(DEFAULT_WAIT_MS);
+    let call = Call {
+        arrived_ms,
+        answer_by_ms: arrived_ms + waits_ms.saturating_sub(ANSWER_MARGIN_MS),
+        key: said.key,
+        host: header("host").unwrap_or_default().to_string(),
+        path: request.uri().path().to_string(),
+    };
+    let method = request.method().clone();
+    let limit = node
+        .contact
+        .latest()
+        .map_or(0, |now| now.configuration.limits.body_bytes);
+    let body = request.take_body().into_bytes_limit(limit.max(1)).await;
+    let reply = match body {
+        Ok(body) => handle(node, &call, &method, &body).await,
+        Err(poem::error::ReadBodyError::PayloadTooLarge) => Reply::refused(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            Counter::RefusedTooLarge,
+            format!("the body is larger than {limit} bytes"),
+        ),
+        Err(e) => Reply::refused(
+            StatusCode::BAD_REQUEST,
+            Counter::RefusedMalformed,
+            e.to_string(),
+        ),
+    };
+    note(node, &call, &method, &reply);
+    let mut response = respond(reply);
+    if node.is_stopping() {
+        response
+            .headers_mut()
+            .insert("connection", poem::http::HeaderValue::from_static("close"));
+    }
+    response
+}
+
+/// Finds out what a call asks for, and does it.
+async fn handle(node: &Arc<Node>, call: &Call, method: &Method, body: &[u8]) -> Reply {
+    let Some(now) = node.contact.in_force(node.oldest_confirmation_ms(now_ms())) else {
+        return Reply::refused(
+            StatusCode::SERVICE_UNAVAILABLE,
+            Counter::RefusedNoConfiguration,
+            "the configuration was not confirmed lately",
+        );
+    };
+    let Some((queue, rest)) = now.configuration.find_queue(&call.host, &call.path) else {
+        return Reply::refused(
+            StatusCode::NOT_FOUND,
+            Counter::RefusedNoQueue,
+            "no queue has that host and path",
+        );
+    };
+    if let Err(Denied::UnknownKey | Denied::NoQueue) =
+        now.configuration.admit_caller(queue, call.key.as_deref())
+    {
+        return Reply::refused(
+            StatusCode::UNAUTHORIZED,
+            Counter::RefusedKey,
+            "the key is not known",
+        );
+    }
+    if rest.is_empty() && method == Method::GET {
+        return count_waiting(node, &queue.name, call).await;
+    }
+    let Ok(id) = rest.parse::<JobId>() else {
+        let detail = "a job's id is 16 lower-case hexadecimal digits";
+        return Reply::refused(StatusCode::BAD_REQUEST, Counter::RefusedMalformed, detail);
+    };
+    match *method {
+        Method::POST => accept_job(node, call, id, body).await,
+        Method::GET => read_state(node, call, id).await,
+        Method::DELETE => cancel_job(node, call, id).await,
+        _ => Reply::refused(
+            StatusCode::METHOD_NOT_ALLOWED,
+            Counter::RefusedMalformed,
+            "GET, POST or DELETE",
+        ),
+    }
+}
+
+/// Counts and logs what a call came to.
+fn note(node: &Node, call: &Call, method: &Method, reply: &Reply) {
+    let took_ms = now_ms().saturating_sub(call.arrived_ms);
+    let id = call.path.rsplit('/').next().unwrap_or_default();
+    let (what, why, counter) = match reply {
+        Reply::State(_) | Reply::Waiting(_) => {
+            if *method == Method::POST {
+                node.metrics.record(Timing::Accept, took_ms);
+            }
+            return;
+        }
+        Reply::Gone => ("no such job", String::new(), None),
+        Reply::Refused { reason, detail, .. } => {
+            ("refused, not run", detail.clone(), Some(*reason))
+        }
+        Reply::OutcomeUnknown => (
+            "outcome unknown",
+            String::new(),
+            Some(Counter::OutcomeUnknown),
+        ),
+    };
+    if let Some(counter) = counter {
+        node.metrics.count(counter);
+    }
+    let reason: &str = counter.map_or("", Into::into);
+    let fields = [
+        ("method", Value::from(method.as_str())),
+        ("path", Value::from(call.path.as_str())),
+        ("reason", Value::from(reason)),
+        ("why", Value::from(why)),
+        ("took_ms", Value::from(took_ms)),
+    ];
+    node.log.request("intake", what, id, &fields);
+}
+
+fn respond(reply: Reply) -> Response {
+    let json = Response::builder().content_type("application/json");
+    match reply {
+        Reply::State(state) => json.status(StatusCode::OK).body(encode_state(state)),
+        Reply::Waiting(count) => json.status(StatusCode::OK).body(encode_waiting(count)),
+        Reply::Gone => {
+            json.status(StatusCode::GONE)
+                .body(refusal_body("refused", "no_such_job", ""))
+        }
+        Reply::Refused {
+            status,
+            reason,
+            detail,
+        } => {
+            let json = match status {
+                StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
+                    json.header("retry-after", RETRY_AFTER_S.to_string())
+                }
+                _ => json,
+            };
+            json.status(status)
+                .body(refusal_body("refused", reason.into(), &detail))
+        }
+        Reply::OutcomeUnknown => {
+            let detail = "the job may have been accepted; come back with the same id";
+            json.status(StatusCode::GATEWAY_TIMEOUT).body(refusal_body(
+                "outcome_unknown",
+                "store_silent",
+                detail,
+            ))
+        }
+    }
+}
+
+/// Tells the balancer whether to send new callers.
+pub(crate) struct Readiness(pub Arc<Node>);
+
+impl Endpoint for Readiness {
+    type Output = Response;
+
+    async fn call(&self, _: Request) -> poem::Result<Response> {
+        let node = &self.0;
+        let fresh = node
+            .contact
+            .in_force(node.oldest_confirmation_ms(now_ms()))
+            .is_some();
+        let ready = fresh && !node.is_stopping();
+        let status = if ready {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        Ok(Response::builder().status(status).finish())
+    }
+}
+
+/// Serves the metrics.
+pub(crate) struct MetricsPage(pub Arc<Node>);
+
+impl Endpoint for MetricsPage {
+    type Output = Response;
+
+    async fn call(&self, _: Request) -> poem::Result<Response> {
+        Ok(Response::builder()
+            .content_type("text/plain; version=0.0.4")
+            .body(self.0.metrics.render()))
+    }
+}
--- /dev/null
+++ b/crates/control/src/settings.rs
@@ -0,0 +1,174 @@
+//! A node's settings: JSON with comments, checked before anything starts.
+
+use std::net::SocketAddrV4;
+
+use jsonc_parser::ParseOptions;
+use serde::Deserialize;
+use thiserror::Error;
+
+/// A fault of a settings file.
+#[derive(Debug, Clone, Error, PartialEq, Eq)]
+#[error("{file}: {place}: {detail}")]
+pub struct Finding {
+    /// The file.
+    pub file: String,
+    /// The line, or the field.
+    pub place: String,
+    /// What is wrong.
+    pub detail: String,
+}
+
+/// The raw file.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct RawSettings {
+    node: RawNode,
+    listen: RawListen,
+    store: RawStore,
+    orders: String,
+    advice: Option<String>,
+    bounds: Bounds,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct RawNode {
+    name: String,
+    data_centre: String,
+    region: String,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct RawListen {
+    callers: String,
+    readiness: String,
+    metrics: String,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct RawStore {
+    address: String,
+    shortest_lease_ms: u64,
+}
+
+/// Bounds that the deployment sets; the defaults are those of the deployments at hand.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[serde(default)]
+pub struct Bounds {
+    /// How long a stop takes at most.
+    pub stop_grace_ms: u64,
+    /// How long members of a gang wait for each other.
+    pub gang_timeout_ms: u64,
+    /// The longest lease that a worker grants.
+    pub longest_lease_ms: u64,
+    /// How long after its removal a key may still be honoured.
+    pub revoke_ms: u64,
+    /// How long after its acceptance a guaranteed job must have begun.
+    pub reclaim_ms: u64,
+    /// How long a process has after SIGTERM.
+    pub stop_s: f64,
+    /// How many times as long a task takes away from its data.
+    pub remote_slowdown: f64,
+    /// How long a job's end can be asked for.
+    pub keep_ended_s: u64,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Bounds {
+            stop_grace_ms: 900,
+            gang_timeout_ms: 3_000,
+            longest_lease_ms: 10_000,
+            revoke_ms: 5_000,
+            reclaim_ms: 2_900,
+            stop_s: 6.0,
+            remote_slowdown: 3.0,
+            keep_ended_s: 120,
+        }
+    }
+}
+
+/// A node's settings, checked.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Settings {
+    /// The node's name.
+    pub name: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Its region.
+    pub region: String,
+    /// Where callers reach it.
+    pub callers: SocketAddrV4,
+    /// Where the balancer asks whether it is ready.
+    pub readiness: SocketAddrV4,
+    /// Where its metrics are read.
+    pub metrics: SocketAddrV4,
+    /// The platform's store.
+    pub store: SocketAddrV4,
+    /// The shortest lease of the store.
+    pub shortest_lease_ms: u64,
+    /// The service that gives tickets, if there is one.
+    pub advice: Option<SocketAddrV4>,
+    /// Bounds of the deployment.
+    pub bounds: Bounds,
+}
+
+impl Settings {
+    /// Reads and checks a settings file; all findings are reported together.
+    pub fn parse(file: &str, text: &str) -> Result<Settings, Vec<Finding>> {
+        let finding = |place: &str, detail: String| Finding {
+            file: file.to_string(),
+            place: place.to_string(),
+            detail,
+        };
+        let raw: RawSettings = jsonc_parser::parse_to_serde_value(text, &ParseOptions::default())
+            .map_err(|e| {
+            vec![finding(
+                &format!("line {}, column {}", e.line_display(), e.column_display()),
+                e.kind().to_string(),
+            )]
+        })?;
+        let mut findings = Vec::new();
+        let mut address = |field: &str, text: &str| {
+            text.parse::<SocketAddrV4>().unwrap_or_else(|_| {
+                findings.push(finding(
+                    field,
+                    format!("{text:?} is not an address of the form IP:PORT"),
+                ));
+                SocketAddrV4::new(std::net::Ipv4Addr::UNSPECIFIED, 0)
+            })
+        };
+        let settings = Settings {
+            callers: address("listen.callers", &raw.listen.callers),
+            readiness: address("listen.readiness", &raw.listen.readiness),
+            metrics: address("listen.metrics", &raw.listen.metrics),
+            store: address("store.address", &raw.store.address),
+            advice: raw
+                .advice
+                .as_deref()
+                .filter(|a| !a.is_empty())
+                .map(|a| address("advice", a)),
+            name: raw.node.name,
+            data_centre: raw.node.data_centre,
+            region: raw.node.region,
+            shortest_lease_ms: raw.store.shortest_lease_ms,
+            bounds: raw.bounds,
+        };
+        if settings.name.is_empty() {
+            findings.push(finding("node.name", "is missing".to_string()));
+        }
+        if !matches!(raw.orders.as_str(), "rpc" | "") {
+            let detail = format!(
+                "{:?} is not a way of giving orders that this version knows; it knows \"rpc\"",
+                raw.orders
+            );
+            findings.push(finding("orders", detail));
+        }
+        match findings.is_empty() {
+            true => Ok(settings),
+            false => Err(findings),
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/stop.rs
@@ -0,0 +1,60 @@
+//! A planned stop: signals, and how long a node goes on serving after one.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+use crate::log::Log;
+use crate::node::Node;
+
+/// How long a node goes on taking calls after SIGTERM: the balancer notices after two looks, a second apart.
+const GOES_ON_MS: u64 = 2_600;
+
+/// Kept free at the end of the time that the platform gives, for the exit itself.
+const EXIT_MARGIN_MS: u64 = 500;
+
+/// How often a stopping node looks whether it is idle.
+const LOOK_MS: u64 = 20;
+
+/// The signals that a node heeds.
+#[derive(Debug)]
+pub(crate) struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+    reload: Signal,
+}
+
+impl StopSignals {
+    /// Listens from now on.
+    pub fn listen() -> std::io::Result<StopSignals> {
+        Ok(StopSignals {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            reload: signal(SignalKind::hangup())?,
+        })
+    }
+
+    /// Waits for SIGTERM or SIGINT; a changed settings file is taken at the next start.
+    pub async fn wait(mut self, log: &Log) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => return,
+                _ = self.interrupt.recv() => return,
+                _ = self.reload.recv() => log.general("node", "reload asked for, nothing to reload", &[]),
+            }
+        }
+    }
+}
+
+/// Goes on serving until the balancer sends nothing more and all calls are answered.
+pub(crate) async fn wait_until_idle(node: &Node) {
+    let grace_ms = (node.settings.bounds.stop_s * 1000.0) as u64;
+    let most_ms = grace_ms.saturating_sub(EXIT_MARGIN_MS);
+    let least_ms = GOES_ON_MS.min(most_ms);
+    let mut waited_ms = 0;
+    while waited_ms < least_ms || (node.active.load(Ordering::Relaxed) > 0 && waited_ms < most_ms) {
+        tokio::time::sleep(Duration::from_millis(LOOK_MS)).await;
+        waited_ms += LOOK_MS;
+    }
+}
--- a/crates/hemlockd/src/main.rs
+++ b/crates/hemlockd/src/main.rs
@@ -29,6 +29,15 @@
         #[arg(long)]
         check: bool,
     },
+    /// Runs a node on the platform.
+    Serve {
+        /// Settings file, JSON with comments; the platform names it in the environment.
+        #[arg(long, env = adapter::SETTINGS_VARIABLE)]
+        settings: PathBuf,
+        /// Only check the settings.
+        #[arg(long)]
+        check: bool,
+    },
     /// Runs a whole site on loopback: stand-in platform, workers and entry nodes.
     Dev(DevArgs),
 }
@@ -42,6 +51,7 @@
 fn main() -> ExitCode {
     match Cli::parse().command {
         Command::Run { settings, check } => run(&settings, check),
+        Command::Serve { settings, check } => serve(&settings, check),
         Command::Dev(args) => match runtime() {
             Ok(runtime) => ExitCode::from(runtime.block_on(dev::run(args))),
             Err(e) => fail(&format!("cannot start the runtime: {e}")),
@@ -95,6 +105,43 @@
     code
 }
 
+/// Reads the settings and runs a node on the platform, on one thread, until a signal stops it.
+fn serve(path: &std::path::Path, check: bool) -> ExitCode {
+    let file = path.display().to_string();
+    let text = match std::fs::read_to_string(path) {
+        Ok(text) => text,
+        Err(e) => {
+            eprintln!("{file}: {e}");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    let settings = match control::Settings::parse(&file, &text) {
+        Ok(settings) => settings,
+        Err(findings) => {
+            for finding in findings {
+                eprintln!("{finding}");
+            }
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    if check {
+        println!("{file}: the settings are valid");
+        return ExitCode::SUCCESS;
+    }
+    let log = match control::Log::start(&settings.name) {
+        Ok(log) => log,
+        Err(e) => return fail(&format!("cannot start the log: {e}")),
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    match runtime.map(|runtime| runtime.block_on(control::serve(settings, log))) {
+        Ok(Ok(())) => ExitCode::SUCCESS,
+        Ok(Err(e)) => fail(&e.to_string()),
+        Err(e) => fail(&format!("cannot start the runtime: {e}")),
+    }
+}
+
 /// Runs a node until a signal; a second signal ends the process at once.
 async fn run_node(settings: Settings) -> ExitCode {
     let node = match Node::start(settings).await {
--- /dev/null
+++ b/crates/scheduler/src/fit.rs
@@ -0,0 +1,174 @@
+//! Which workers can take a task, and which of them suits it best.
+
+use std::collections::BTreeMap;
+
+use crate::group::GroupKey;
+use crate::planner::Planner;
+use crate::spec::Need;
+use crate::worker::{Worker, WorkerKey};
+
+/// A worker as seen while a group is placed: its free room shrinks with each task put there.
+#[derive(Debug, Clone)]
+pub(crate) struct Spot {
+    pub worker: WorkerKey,
+    pub rack: String,
+    pub free: Need,
+    /// How many more tasks of the group it may take, whatever its room.
+    pub slots_left: u32,
+    /// Whether tasks of others failed there lately.
+    pub doubtful: bool,
+}
+
+impl Spot {
+    /// Whether one more task fits.
+    pub fn takes(&self, need: &Need) -> bool {
+        self.slots_left > 0 && need.fits(&self.free)
+    }
+
+    /// Puts one task there.
+    pub fn put(&mut self, need: &Need) {
+        self.free -= *need;
+        self.slots_left -= 1;
+    }
+
+    /// Less is better: a worker in good standing, and the least room left over.
+    fn rank(&self, need: &Need) -> (bool, i64, i64) {
+        let left = self.free.less(need);
+        (self.doubtful, left.accelerators, left.cpu_millis)
+    }
+}
+
+/// The spot that suits a task best.
+pub(crate) fn find_best_spot(spots: &mut [Spot], need: &Need) -> Option<usize> {
+    (0..spots.len())
+        .filter(|at| spots[*at].takes(need))
+        .min_by_key(|at| spots[*at].rank(need))
+}
+
+/// Places for `count` tasks that all have to be placed; none if they do not all fit.
+pub(crate) fn find_places(spots: &[Spot], need: &Need, count: usize) -> Option<Vec<WorkerKey>> {
+    let mut spots = spots.to_vec();
+    (0..count)
+        .map(|_| {
+            let at = find_best_spot(&mut spots, need)?;
+            spots[at].put(need);
+            Some(spots[at].worker)
+        })
+        .collect()
+}
+
+/// Spots by rack.
+pub(crate) fn split_by_rack(spots: &[Spot]) -> BTreeMap<&str, Vec<Spot>> {
+    let mut racks: BTreeMap<&str, Vec<Spot>> = BTreeMap::new();
+    for spot in spots {
+        racks
+            .entry(spot.rack.as_str())
+            .or_default()
+            .push(spot.clone());
+    }
+    racks
+}
+
+/// Places for all tasks on one rack: the rack that is left with the least free accelerators.
+pub(crate) fn find_places_on_one_rack(
+    spots: &[Spot],
+    need: &Need,
+    count: usize,
+) -> Option<Vec<WorkerKey>> {
+    split_by_rack(spots)
+        .into_values()
+        .filter_map(|rack| {
+            let free: i64 = rack.iter().map(|spot| spot.free.accelerators.max(0)).sum();
+            find_places(&rack, need, count).map(|places| (free, places))
+        })
+        .min_by_key(|(free, _)| *free)
+        .map(|(_, places)| places)
+}
+
+impl Planner {
+    /// Whether a worker may get new work now.
+    pub(crate) fn is_usable(&self, worker: &Worker, now_ms: u64) -> bool {
+        worker.fenced
+            && worker.listed
+            && !worker.entry.leaving
+            && !worker.silent
+            && worker.answered_ms + self.limits.silent_ms >= now_ms
+            && worker.health.is_trusted(now_ms)
+    }
+
+    /// Whether a worker can ever run tasks of a group, whatever its room.
+    pub(crate) fn suits(&self, group: GroupKey, worker: &Worker) -> bool {
+        let job = &self.jobs[group.job];
+        let step = job.step_of(group.group as usize);
+        worker.entry.service == job.stored.service
+            && step
+                .required_label
+                .as_ref()
+                .is_none_or(|label| worker.entry.labels.contains(label))
+            && job
+                .need_of(group.group as usize)
+                .fits(&worker.entry.capacity)
+    }
+
+    /// How many more tasks of a group a worker may take, whatever its room.
+    pub(crate) fn slots_left(&self, group: GroupKey, worker: &Worker) -> u32 {
+        let most = self.jobs[group.job]
+            .step_of(group.group as usize)
+            .most_per_worker;
+        match most {
+            0 => u32::MAX,
+            most => most.saturating_sub(
+                worker
+                    .units
+                    .keys()
+                    .filter(|unit| unit.group == group)
+                    .count() as u32,
+            ),
+        }
+    }
+
+    /// The workers that can take tasks of a group now.
+    pub(crate) fn spots(&self, group: GroupKey, now_ms: u64) -> Vec<Spot> {
+        self.workers
+            .iter()
+            .filter(|(_, worker)| self.is_usable(worker, now_ms) && self.suits(group, worker))
+            .map(|(key, worker)| Spot {
+                worker: key,
+                rack: worker.entry.rack.clone(),
+                free: worker.free(),
+                slots_left: self.slots_left(group, worker),
+                doubtful: worker.health.is_doubtful(),
+            })
+            .collect()
+    }
+
+    /// The most tasks of a group that one rack could hold if it were empty.
+    pub(crate) fn most_on_one_rack(&self, group: GroupKey) -> usize {
+        let need = self.need(group);
+        let mut racks: BTreeMap<&str, usize> = BTreeMap::new();
+        for worker in self
+            .workers
+            .values()
+            .filter(|w| w.listed && self.suits(group, w))
+        {
+            *racks.entry(worker.entry.rack.as_str()).or_default() +=
+                fit_count(&worker.entry.capacity, &need);
+        }
+        racks.into_values().max().unwrap_or(0)
+    }
+}
+
+/// How many tasks fit into a room.
+pub(crate) fn fit_count(room: &Need, need: &Need) -> usize {
+    let by = |room: i64, need: i64| {
+        if need <= 0 {
+            i64::MAX
+        } else {
+            room.max(0) / need
+        }
+    };
+    by(room.cpu_millis, need.cpu_millis)
+        .min(by(room.memory_mb, need.memory_mb))
+        .min(by(room.accelerators, need.accelerators))
+        .clamp(0, 1 << 20) as usize
+}
--- /dev/null
+++ b/crates/scheduler/src/job.rs
@@ -0,0 +1,199 @@
+//! A job that the planner holds.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::group::{Group, Phase};
+use crate::record::{GroupRecord, JobRecord, StoredJob, UnitRecord};
+use crate::spec::{Need, StepSpec};
+use crate::task::TaskName;
+
+/// A job's state, as callers see it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum JobState {
+    /// Nothing of it has started.
+    Pending,
+    /// Something of it has started.
+    Running,
+    /// All its tasks are done.
+    Completed,
+    /// A task, or a gang, failed as often as the queue bears.
+    Failed,
+    /// Its caller cancelled it.
+    Cancelled,
+}
+
+impl JobState {
+    /// Whether this state stays.
+    pub fn is_final(self) -> bool {
+        matches!(
+            self,
+            JobState::Completed | JobState::Failed | JobState::Cancelled
+        )
+    }
+}
+
+/// A job that the planner holds.
+#[derive(Debug)]
+pub(crate) struct Job {
+    pub stored: StoredJob,
+    /// Handed to each task.
+    pub text: Arc<str>,
+    /// Rises with the order of acceptance.
+    pub order: u64,
+    /// When the planner learned of it.
+    pub known_ms: u64,
+    pub state: JobState,
+    pub ended_unix_ms: u64,
+    pub groups: Vec<Group>,
+    /// Whether its record in the store is behind.
+    pub dirty: bool,
+    /// Whether the last record says that all is over; the job is dropped then.
+    pub over: bool,
+}
+
+impl Job {
+    pub fn new(mut stored: StoredJob, order: u64, now_ms: u64) -> Job {
+        let text: Arc<str> = std::mem::take(&mut stored.request.text).into();
+        let steps = &stored.request.steps;
+        let groups = (0..stored.request.timing.occurrences())
+            .flat_map(|k| {
+                steps
+                    .iter()
+                    .enumerate()
+                    .map(move |(at, step)| Group::new(k, at as u32, step, now_ms))
+            })
+            .collect();
+        Job {
+            stored,
+            text,
+            order,
+            known_ms: now_ms,
+            state: JobState::Pending,
+            ended_unix_ms: 0,
+            groups,
+            dirty: false,
+            over: false,
+        }
+    }
+
+    /// The step that a group belongs to.
+    pub fn step_of(&self, group: usize) -> &StepSpec {
+        &self.stored.request.steps[self.groups[group].step as usize]
+    }
+
+    /// What one task of a group takes of a worker's room.
+    pub fn need_of(&self, group: usize) -> Need {
+        let step = self.step_of(group);
+        match step.fills {
+            true => Need {
+                cpu_millis: 0,
+                ..step.need
+            },
+            false => step.need,
+        }
+    }
+
+    /// Where a group stands in the list, by occurrence and step.
+    pub fn find_group(&self, occurrence: u32, step: u32) -> Option<usize> {
+        self.groups
+            .iter()
+            .position(|g| g.occurrence == occurrence && g.step == step)
+    }
+
+    /// A task's name.
+    pub fn task_name(&self, group: usize, unit: usize) -> TaskName {
+        let at = &self.groups[group];
+        TaskName {
+            job: self.stored.id,
+            occurrence: at.occurrence,
+            step: at.step,
+            index: unit as u32,
+        }
+    }
+
+    /// Whether the steps before a group are done.
+    pub fn is_unblocked(&self, group: usize) -> bool {
+        let at = &self.groups[group];
+        self.step_of(group).after.iter().all(|step| {
+            self.find_group(at.occurrence, *step)
+                .is_none_or(|g| self.groups[g].is_done())
+        })
+    }
+
+    /// Whether anything of it takes room on a worker.
+    pub fn takes_room(&self) -> bool {
+        self.groups.iter().any(Group::takes_room)
+    }
+
+    /// Whether a task of a group has failed as often as the queue bears.
+    pub fn is_exhausted(&self, group: usize) -> bool {
+        let attempts = self.stored.attempts.max(1);
+        let at = &self.groups[group];
+        let failed = at
+            .units
+            .iter()
+            .map(|u| u.failed)
+            .max()
+            .unwrap_or(0)
+            .max(at.gang_failed);
+        !self.step_of(group).lasting && failed >= attempts
+    }
+
+    /// Accelerators that it may need from now on at one time.
+    pub fn accelerators(&self) -> i64 {
+        (0..self.groups.len())
+            .filter(|g| !self.groups[*g].is_done())
+            .map(|g| self.need_of(g).accelerators * self.groups[g].units.len() as i64)
+            .sum()
+    }
+
+    /// Its record for the store; `names` gives a worker's stored name.
+    pub fn record(&self, name: impl Fn(crate::worker::WorkerKey) -> Option<String>) -> JobRecord {
+        let groups = match self.state.is_final() && !self.takes_room() {
+            true => Vec::new(),
+            false => self
+                .groups
+                .iter()
+                .filter(|g| g.units.iter().any(|u| u.run > 0))
+                .map(|g| group_record(g, &name))
+                .collect(),
+        };
+        JobRecord {
+            state: self.state,
+            queue: self.stored.queue.clone(),
+            ended_unix_ms: self.ended_unix_ms,
+            groups,
+        }
+    }
+}
+
+/// One group's part of a record.
+fn group_record(
+    group: &Group,
+    name: &impl Fn(crate::worker::WorkerKey) -> Option<String>,
+) -> GroupRecord {
+    let units = group
+        .units
+        .iter()
+        .map(|unit| UnitRecord {
+            run: unit.run,
+            failed: unit.failed,
+            done: matches!(unit.phase, Phase::Done | Phase::Ending { .. }),
+            worker: unit.phase.worker().and_then(name),
+            progress: if unit.progress.is_empty() {
+                group.progress.clone()
+            } else {
+                unit.progress.clone()
+            },
+        })
+        .collect();
+    GroupRecord {
+        occurrence: group.occurrence,
+        step: group.step,
+        gang_failed: group.gang_failed,
+        units,
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/lib.rs
@@ -0,0 +1,32 @@
+//! Decides which task runs on which worker, and records what must survive.
+//!
+//! Everything here is pure: events and a time in, orders and records out. [`Planner`] is the entry point; the process
+//! that holds the lead feeds it and carries out its [`Order`]s.
+
+mod claims;
+mod configuration;
+mod ends;
+mod events;
+mod fit;
+mod group;
+mod health;
+mod job;
+mod load;
+mod orders;
+mod planner;
+mod preempt;
+pub mod prelude;
+mod record;
+mod schedule;
+mod spec;
+mod task;
+mod worker;
+
+pub use configuration::{Advice, BodyLimits, Configuration, Denied, Organisation, Queue, Service};
+pub use job::JobState;
+pub use orders::{Flush, Order, RecordWrite, StartOutcome, StopOutcome};
+pub use planner::{Decision, Limits, Planner, RunCounts};
+pub use record::{GroupRecord, JobRecord, StoredJob, UnitRecord};
+pub use spec::{JobRequest, Need, SpecError, StepSpec, Timing};
+pub use task::{JobId, NameError, TaskName};
+pub use worker::{EndHow, EndRow, HoldReport, Listing, RunRow, WorkerEntry, WorkerKey};
--- /dev/null
+++ b/crates/scheduler/src/orders.rs
@@ -0,0 +1,118 @@
+//! What the planner wants carried out, and what came of it.
+
+use std::sync::Arc;
+
+use crate::group::UnitKey;
+use crate::record::JobRecord;
+use crate::task::{JobId, TaskName};
+use crate::worker::WorkerKey;
+
+/// An order to a worker.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Order {
+    /// Start a run.
+    Start {
+        /// The worker.
+        worker: WorkerKey,
+        /// Which task of the planner's.
+        unit: UnitKey,
+        /// Its name.
+        task: TaskName,
+        /// Which run.
+        run: u32,
+        /// The job's text.
+        text: Arc<str>,
+        /// Progress to resume from; empty for none.
+        progress: String,
+        /// Whether an earlier call of the same start got no answer.
+        again: bool,
+    },
+    /// Stop a run.
+    Stop {
+        /// The worker.
+        worker: WorkerKey,
+        /// Which task of the planner's; none for a run that ought not to be there.
+        unit: Option<UnitKey>,
+        /// Its name.
+        task: TaskName,
+        /// Which run.
+        run: u32,
+        /// Whether an earlier call of the same stop got no answer.
+        again: bool,
+    },
+}
+
+/// What came of a start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StartOutcome {
+    /// It runs, or did already.
+    Started {
+        /// When the answer arrived.
+        received_ms: u64,
+    },
+    /// A later planner has spoken to the worker.
+    OlderTerm,
+    /// The run is not higher than one that ended or was stopped there.
+    OldRun,
+    /// The order's lease had ended when it arrived.
+    Late,
+    /// The worker has no room.
+    NoRoom,
+    /// The ticket is missing or has run out.
+    NoTicket,
+    /// The worker turned the order away without doing anything.
+    Unhealthy,
+    /// The worker cannot read the order.
+    Malformed,
+    /// Another life of the worker answered.
+    OtherLife,
+    /// No answer; the order may still be carried out.
+    NoAnswer,
+}
+
+/// What came of a stop.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StopOutcome {
+    /// The worker took it.
+    Taken {
+        /// When the answer arrived.
+        received_ms: u64,
+    },
+    /// A later planner has spoken to the worker.
+    OlderTerm,
+    /// Another life of the worker answered.
+    OtherLife,
+    /// No answer, or none that says whether it was taken.
+    NoAnswer,
+}
+
+/// A job's record, to be written.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RecordWrite {
+    /// The job.
+    pub job: JobId,
+    /// The record.
+    pub record: JobRecord,
+    /// Whether the job no longer counts as waiting.
+    pub begun: bool,
+    /// Whether all is over, so that the request itself can go.
+    pub over: bool,
+}
+
+/// What has to be in the store before the planner goes on.
+#[derive(Debug, Default)]
+pub struct Flush {
+    /// Records to write.
+    pub writes: Vec<RecordWrite>,
+    /// Starts that may be sent afterwards.
+    pub(crate) starts: Vec<(UnitKey, u32)>,
+    /// Ends that may be confirmed afterwards.
+    pub(crate) ends: Vec<(WorkerKey, u64)>,
+}
+
+impl Flush {
+    /// Whether there is nothing to do.
+    pub fn is_empty(&self) -> bool {
+        self.writes.is_empty() && self.starts.is_empty() && self.ends.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/preempt.rs
@@ -0,0 +1,218 @@
+//! Makes room for work of the first priority by stopping other work that loses least.
+
+use std::collections::HashMap;
+
+use crate::fit::{Spot, split_by_rack};
+use crate::group::{GroupKey, Phase, UnitKey};
+use crate::planner::Planner;
+use crate::spec::Need;
+use crate::worker::WorkerKey;
+
+/// An accelerator counts as this many cores when lost work is weighed; the platform's prices say so.
+const CORES_PER_ACCELERATOR: i64 = 8;
+
+/// What a task that saves its progress loses at a stop: about half of a saving interval.
+const LOST_WITH_PROGRESS_MS: u64 = 300;
+
+/// A task that can be stopped, and what that loses.
+#[derive(Debug, Clone, Copy)]
+struct Victim {
+    unit: UnitKey,
+    need: Need,
+    loss: i64,
+}
+
+/// A way to make room: where tasks go, what is stopped, what that loses.
+#[derive(Debug, Default)]
+struct Plan {
+    places: Vec<WorkerKey>,
+    victims: Vec<UnitKey>,
+    loss: i64,
+}
+
+impl Planner {
+    /// Makes room for a group of the first priority that found none.
+    pub(crate) fn make_room(&mut self, group: GroupKey, now_ms: u64) {
+        let Some(job) = self.jobs.get(group.job) else {
+            return;
+        };
+        let at = &job.groups[group.group as usize];
+        if job.stored.priority != 0 || at.claim.is_some() {
+            return;
+        }
+        let waiting: Vec<u32> = (0..)
+            .zip(&at.units)
+            .filter(|(_, u)| u.phase == Phase::Waiting && u.not_before_ms <= now_ms)
+            .map(|(index, _)| index)
+            .collect();
+        let gang = self.is_gang(group);
+        if waiting.is_empty() || (gang && waiting.len() < at.units.len()) {
+            return;
+        }
+        let Some(plan) = self.plan_room(group, waiting.len(), now_ms) else {
+            return;
+        };
+        let id = job.stored.id;
+        let why = format!(
+            "stops {} tasks for {} of priority 0, loss {} core-ms",
+            plan.victims.len(),
+            plan.places.len(),
+            plan.loss
+        );
+        self.decide(Some(id), "room made", why);
+        for victim in &plan.victims {
+            self.preempt_unit(*victim, id, now_ms);
+        }
+        let places = waiting.into_iter().zip(plan.places).collect();
+        self.claim_room(group, places, now_ms);
+        self.changed = true;
+    }
+
+    /// Stops a task, with its whole gang if it has one.
+    fn preempt_unit(&mut self, key: UnitKey, by: crate::JobId, now_ms: u64) {
+        let id = self.jobs[key.group.job].stored.id;
+        let victims = match self.is_gang(key.group) {
+            true => self.members(key.group),
+            false => vec![key],
+        };
+        for victim in victims {
+            self.counts.preempted += 1;
+            self.stop_unit(victim, now_ms);
+        }
+        if self.is_gang(key.group) {
+            self.dissolve_gang(key.group, now_ms);
+        }
+        self.decide(
+            Some(id),
+            "preempted",
+            format!("task {} makes room for job {by}", key.unit),
+        );
+    }
+
+    /// The way to make room that loses least.
+    fn plan_room(&self, group: GroupKey, count: usize, now_ms: u64) -> Option<Plan> {
+        let step = self.jobs[group.job].step_of(group.group as usize);
+        let need = self.need(group);
+        let mut spots = self.spots(group, now_ms);
+        if let Some(rack) = &step.data_rack {
+            spots.retain(|spot| &spot.rack == rack);
+        }
+        let victims = self.list_victims(group, &spots, now_ms);
+        let one_rack = step.one_rack && count <= self.most_on_one_rack(group);
+        let by_rack = split_by_rack(&spots)
+            .into_values()
+            .filter_map(|rack| plan_on(rack, &victims, &need, count))
+            .min_by_key(|plan| plan.loss);
+        if one_rack {
+            return by_rack;
+        }
+        by_rack.or_else(|| plan_on(spots, &victims, &need, count))
+    }
+
+    /// What could be stopped on each worker, the least loss first.
+    fn list_victims(
+        &self,
+        group: GroupKey,
+        spots: &[Spot],
+        now_ms: u64,
+    ) -> HashMap<WorkerKey, Vec<Victim>> {
+        let own = self.jobs[group.job].stored.priority;
+        let mut all = HashMap::new();
+        for spot in spots {
+            let mut here: Vec<Victim> = self.workers[spot.worker]
+                .units
+                .keys()
+                .filter(|unit| self.can_be_stopped(**unit, own))
+                .map(|unit| Victim {
+                    unit: *unit,
+                    need: self.need(unit.group),
+                    loss: self.loss(*unit, now_ms),
+                })
+                .collect();
+            here.sort_by_key(|victim| (victim.loss, victim.unit));
+            all.insert(spot.worker, here);
+        }
+        all
+    }
+
+    fn can_be_stopped(&self, key: UnitKey, by_priority: u32) -> bool {
+        let job = &self.jobs[key.group.job];
+        let running = matches!(self.unit(key).map(|u| u.phase), Some(Phase::Running { .. }));
+        running
+            && job.stored.priority > by_priority
+            && job.step_of(key.group.group as usize).most_away.is_none()
+            && job.groups[key.group.group as usize].dissolving_ms.is_none()
+    }
+
+    /// Core-milliseconds lost if a task is stopped, with its gang.
+    fn loss(&self, key: UnitKey, now_ms: u64) -> i64 {
+        let job = &self.jobs[key.group.job];
+        let step = job.step_of(key.group.group as usize);
+        let group = &job.groups[key.group.group as usize];
+        let members = if step.gang {
+            group.units.len() as i64
+        } else {
+            1
+        };
+        let ran_ms = now_ms.saturating_sub(group.units[key.unit as usize].started_ms);
+        let lost_ms = if step.saves_progress {
+            ran_ms.min(LOST_WITH_PROGRESS_MS)
+        } else {
+            ran_ms
+        };
+        let cores_milli =
+            step.need.cpu_millis + step.need.accelerators * CORES_PER_ACCELERATOR * 1000;
+        // The longer of two that lose nothing is stopped last, since it is nearer to its end.
+        (lost_ms as i64) * cores_milli * members / 1000 + 1
+    }
+}
+
+/// Makes room for `count` tasks on the spots given, each time where it loses least.
+fn plan_on(
+    mut spots: Vec<Spot>,
+    victims: &HashMap<WorkerKey, Vec<Victim>>,
+    need: &Need,
+    count: usize,
+) -> Option<Plan> {
+    let mut plan = Plan::default();
+    for _ in 0..count {
+        let (at, more) = (0..spots.len())
+            .filter(|at| spots[*at].slots_left > 0)
+            .filter_map(|at| {
+                stop_for_one(&spots[at], victims, need, &plan.victims).map(|more| (at, more))
+            })
+            .min_by_key(|(at, more)| (sum_loss(more), spots[*at].free.accelerators))?;
+        for victim in &more {
+            spots[at].free += victim.need;
+            plan.loss += victim.loss;
+            plan.victims.push(victim.unit);
+        }
+        spots[at].put(need);
+        plan.places.push(spots[at].worker);
+    }
+    Some(plan)
+}
+
+fn sum_loss(victims: &[Victim]) -> i64 {
+    victims.iter().map(|victim| victim.loss).sum()
+}
+
+/// The tasks to stop so that one more fits on a spot; none if it cannot fit.
+fn stop_for_one(
+    spot: &Spot,
+    victims: &HashMap<WorkerKey, Vec<Victim>>,
+    need: &Need,
+    taken: &[UnitKey],
+) -> Option<Vec<Victim>> {
+    let mut free = spot.free;
+    let mut chosen = Vec::new();
+    let here = victims.get(&spot.worker).into_iter().flatten();
+    for victim in here.filter(|victim| !taken.contains(&victim.unit)) {
+        if need.fits(&free) {
+            break;
+        }
+        free += victim.need;
+        chosen.push(*victim);
+    }
+    need.fits(&free).then_some(chosen)
+}
--- /dev/null
+++ b/crates/scheduler/src/task.rs
@@ -0,0 +1,87 @@
+//! Names of jobs and of their tasks.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// A name that cannot be read.
+#[derive(Debug, Error, PartialEq, Eq)]
+pub enum NameError {
+    /// Not 16 lower-case hexadecimal digits.
+    #[error("a job's id is 16 lower-case hexadecimal digits")]
+    JobId,
+    /// Not of the form `ID.OCCURRENCE.STEP.INDEX`.
+    #[error("a task's name has the form ID.OCCURRENCE.STEP.INDEX")]
+    Task,
+}
+
+/// A job's identifier, chosen by its caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct JobId(u64);
+
+impl FromStr for JobId {
+    type Err = NameError;
+
+    fn from_str(text: &str) -> Result<Self, NameError> {
+        let digits =
+            text.len() == 16 && text.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'));
+        if !digits {
+            return Err(NameError::JobId);
+        }
+        u64::from_str_radix(text, 16)
+            .map(JobId)
+            .map_err(|_| NameError::JobId)
+    }
+}
+
+impl fmt::Display for JobId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+/// Which task of which job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TaskName {
+    /// The job.
+    pub job: JobId,
+    /// Which time the job's steps run; 0 for a job that runs once.
+    pub occurrence: u32,
+    /// Which step, from 0.
+    pub step: u32,
+    /// Which task of the step, from 0.
+    pub index: u32,
+}
+
+impl fmt::Display for TaskName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{}.{}.{}.{}",
+            self.job, self.occurrence, self.step, self.index
+        )
+    }
+}
+
+impl FromStr for TaskName {
+    type Err = NameError;
+
+    fn from_str(text: &str) -> Result<Self, NameError> {
+        let mut parts = text.split('.');
+        let job = parts.next().and_then(|p| p.parse().ok());
+        let mut number = || parts.next().and_then(|p| p.parse::<u32>().ok());
+        let (occurrence, step, index) = (number(), number(), number());
+        match (job, occurrence, step, index, parts.next()) {
+            (Some(job), Some(occurrence), Some(step), Some(index), None) => Ok(TaskName {
+                job,
+                occurrence,
+                step,
+                index,
+            }),
+            _ => Err(NameError::Task),
+        }
+    }
+}
