Go on watching from the store's revision at the read, and build the program as a package of its own

The package daemon holds the program alone, so that a change of one part does not rebuild the others.

--- a/crates/control/src/configuration.rs
+++ b/crates/control/src/configuration.rs
@@ -40,15 +40,15 @@
 /// Reads the configuration, then watches it until the watch has to be begun anew.
 async fn read_and_watch(node: &Arc<Node>) -> Result<(), String> {
     let sent_ms = now_ms();
-    let item = node
+    let read = node
         .store
-        .read(CONFIGURATION_KEY, CALL_TIMEOUT_MS, true)
-        .await
-        .map_err(|e| e.to_string())?;
+        .read_with_revision(CONFIGURATION_KEY, CALL_TIMEOUT_MS, true)
+        .await;
+    let (item, revision) = read.map_err(|e| e.to_string())?;
     let Some(item) = item else {
         return Err("no configuration is declared".to_string());
     };
-    let mut after = item.revision;
+    let mut after = revision.max(item.revision);
     take(node, &item.value, item.revision, sent_ms);
     loop {
         let sent_ms = now_ms();
--- a/crates/control/src/lead.rs
+++ b/crates/control/src/lead.rs
@@ -102,8 +102,12 @@
 
 /// Waits until nobody holds the lead, and tries to take it.
 async fn try_once(node: &Node, name: &str) -> Result<Option<Lead>, CallError> {
-    if let Some(item) = node.store.read(keys::LEAD, CALL_TIMEOUT_MS, true).await? {
-        wait_for_removal(node, item.revision).await?;
+    let (held, revision) = node
+        .store
+        .read_with_revision(keys::LEAD, CALL_TIMEOUT_MS, true)
+        .await?;
+    if let Some(item) = held {
+        wait_for_removal(node, revision.max(item.revision)).await?;
     }
     if node.is_stopping() || node.contact.latest().is_none() {
         tokio::time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
--- a/crates/hemlockd/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -1,5 +1,6 @@
 //! Entry nodes as processes of their own, started from settings files and stopped by signals.
 
+#[path = "../../hemlockd/tests/support/mod.rs"]
 mod support;
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -142,14 +142,6 @@
         !self.step_of(group).lasting && failed >= attempts
     }
 
-    /// Accelerators that it may need from now on at one time.
-    pub fn accelerators(&self) -> i64 {
-        (0..self.groups.len())
-            .filter(|g| !self.groups[*g].is_done())
-            .map(|g| self.need_of(g).accelerators * self.groups[g].units.len() as i64)
-            .sum()
-    }
-
     /// Its record for the store; `names` gives a worker's stored name.
     pub fn record(&self, name: impl Fn(crate::worker::WorkerKey) -> Option<String>) -> JobRecord {
         let groups = match self.state.is_final() && !self.takes_room() {
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -179,12 +179,6 @@
         }
     }
 
-    /// The worker's clock, as estimated for `now_ms`.
-    pub fn clock_at(&self, now_ms: u64) -> Option<u64> {
-        self.clock
-            .map(|(clock_ms, read_ms)| clock_ms + now_ms.saturating_sub(read_ms))
-    }
-
     /// When everything that runs there must be over if it is not heard of any more.
     pub fn lapse_ms(&self) -> u64 {
         match self.clock {
