--- a/crates/control/src/takeover.rs
+++ b/crates/control/src/takeover.rs
@@ -30,8 +30,9 @@
 /// A worker that was not heard of for this long gets no new work: a renewal is answered within 2 s.
 const SILENT_MS: u64 = 2_900;
 
-/// How long one watch of the requests waits.
-const WATCH_WAIT_MS: u64 = 10_000;
+/// How long one watch of the requests waits: with the time-out below it bounds how late a cancel is noticed when the
+/// connection has gone silent.
+const WATCH_WAIT_MS: u64 = 1_000;
 
 /// How long a call may take beyond its waiting.
 const CALL_TIMEOUT_MS: u64 = 900;
