--- a/crates/control/src/intake.rs
+++ b/crates/control/src/intake.rs
@@ -115,6 +115,8 @@
         service: queue.service.clone(),
         priority: queue.priority,
         attempts: queue.attempts,
+        stretch_percent: queue.stretch_percent,
+        goal_ms: queue.goal_ms,
         advice: queue.advice,
         request: request.clone(),
     };
--- a/crates/scheduler/src/configuration.rs
+++ b/crates/scheduler/src/configuration.rs
@@ -28,6 +28,10 @@
     pub priority: u32,
     /// How many failed runs of a task are borne.
     pub attempts: u32,
+    /// A job is on time if it takes at most this share of its longest chain of work, in hundredths, ...
+    pub stretch_percent: u32,
+    /// ... and this much more.
+    pub goal_ms: u64,
     /// Whether calls need no key.
     pub public: bool,
     /// Who says which workers may run a step, if anyone does.
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -269,6 +269,7 @@
         }
         job.state = state;
         let id = job.stored.id;
+        let times = job.tell_times();
         let groups = job.groups.len() as u32;
         for group in (0..groups).map(|group| GroupKey { job: key, group }) {
             self.drop_claim(group);
@@ -277,7 +278,7 @@
             }
         }
         self.mark_dirty(key);
-        self.decide(Some(id), "job ended", format!("state {state:?}"));
+        self.decide(Some(id), "job ended", format!("state {state:?}; {times}"));
     }
 
     /// Notes that a job is completed when all its tasks are done, and that its record is behind.
@@ -288,7 +289,8 @@
         if !job.state.is_final() && job.groups.iter().all(|group| group.is_done()) {
             job.state = JobState::Completed;
             let id = job.stored.id;
-            self.decide(Some(id), "job ended", "all tasks are done".to_string());
+            let why = format!("all tasks are done; {}", job.tell_times());
+            self.decide(Some(id), "job ended", why);
         }
         self.mark_dirty(key);
     }
--- a/crates/scheduler/src/fit.rs
+++ b/crates/scheduler/src/fit.rs
@@ -15,6 +15,8 @@
     pub free: Need,
     /// How many more tasks of the group it may take, whatever its room.
     pub slots_left: u32,
+    /// Free accelerators on its whole rack.
+    pub rack_free: i64,
     /// Whether tasks of others failed there lately.
     pub doubtful: bool,
 }
@@ -31,10 +33,16 @@
         self.slots_left -= 1;
     }
 
-    /// Less is better: a worker in good standing, and the least room left over.
-    fn rank(&self, need: &Need) -> (bool, i64, i64) {
+    /// Less is better: a worker in good standing, on the fullest rack, with the least room left over. Whole racks
+    /// stay free for gangs that way.
+    fn rank(&self, need: &Need) -> (bool, i64, i64, i64) {
         let left = self.free.less(need);
-        (self.doubtful, left.accelerators, left.cpu_millis)
+        (
+            self.doubtful,
+            self.rack_free,
+            left.accelerators,
+            left.cpu_millis,
+        )
     }
 }
 
@@ -129,6 +137,11 @@
 
     /// The workers that can take tasks of a group now.
     pub(crate) fn spots(&self, group: GroupKey, now_ms: u64) -> Vec<Spot> {
+        let mut racks: BTreeMap<&str, i64> = BTreeMap::new();
+        for worker in self.workers.values().filter(|w| self.is_usable(w, now_ms)) {
+            *racks.entry(worker.entry.rack.as_str()).or_default() +=
+                worker.free().accelerators.max(0);
+        }
         self.workers
             .iter()
             .filter(|(_, worker)| self.is_usable(worker, now_ms) && self.suits(group, worker))
@@ -137,6 +150,7 @@
                 rack: worker.entry.rack.clone(),
                 free: worker.free(),
                 slots_left: self.slots_left(group, worker),
+                rack_free: racks.get(worker.entry.rack.as_str()).copied().unwrap_or(0),
                 doubtful: worker.health.is_doubtful(),
             })
             .collect()
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -142,6 +142,41 @@
         !self.step_of(group).lasting && failed >= attempts
     }
 
+    /// Accelerators that it needs at one time at least.
+    pub fn accelerators(&self) -> i64 {
+        self.stored
+            .request
+            .steps
+            .iter()
+            .map(|step| step.need.accelerators * i64::from(step.count))
+            .max()
+            .unwrap_or(0)
+    }
+
+    /// How its time was spent, for the log: on the planner's clock, in milliseconds.
+    pub fn tell_times(&self) -> String {
+        let units = || self.groups.iter().flat_map(|group| group.units.iter());
+        let first_ms = units().map(|u| u.started_ms).filter(|ms| *ms > 0).min();
+        let last_ms = units().map(|u| u.since_ms).max().unwrap_or(self.known_ms);
+        let estimate_ms = self
+            .stored
+            .request
+            .steps
+            .iter()
+            .map(|step| step.estimate_ms)
+            .max()
+            .unwrap_or(0);
+        format!(
+            "priority {}, {} tasks, most runs {}, known at {}, last run first confirmed {} ms later, over {} ms later, estimate {estimate_ms} ms",
+            self.stored.priority,
+            units().count(),
+            units().map(|u| u.run).max().unwrap_or(0),
+            self.known_ms,
+            first_ms.unwrap_or(last_ms).saturating_sub(self.known_ms),
+            last_ms.saturating_sub(self.known_ms),
+        )
+    }
+
     /// Its record for the store; `names` gives a worker's stored name.
     pub fn record(&self, name: impl Fn(crate::worker::WorkerKey) -> Option<String>) -> JobRecord {
         let groups = match self.state.is_final() && !self.takes_room() {
--- a/crates/scheduler/src/preempt.rs
+++ b/crates/scheduler/src/preempt.rs
@@ -3,7 +3,8 @@
 use std::collections::HashMap;
 
 use crate::fit::{Spot, split_by_rack};
-use crate::group::{GroupKey, Phase, UnitKey};
+use crate::group::{GroupKey, JobKey, Phase, UnitKey};
+use crate::job::Job;
 use crate::planner::Planner;
 use crate::spec::Need;
 use crate::worker::WorkerKey;
@@ -14,6 +15,19 @@
 /// What a task that saves its progress loses at a stop: about half of a saving interval.
 const LOST_WITH_PROGRESS_MS: u64 = 300;
 
+/// Kept free of a group's time for the way of its stops and starts.
+const START_MARGIN_MS: u64 = 250;
+
+/// Work that may be lost for an urgent start at once, in core-milliseconds. The users' sheets put an urgent job in time
+/// at 4 and a late one at 0.8, and a lost core-second at 0.0013: this is an eighth of the difference.
+const LEAST_BEARABLE: i64 = 300_000;
+
+/// The same for a start that would be late otherwise: most of the difference.
+const MOST_BEARABLE: i64 = 2_000_000;
+
+/// Kept free of the time in which a guaranteed job has to begin, for a start that has to be made again.
+const RECLAIM_MARGIN_MS: u64 = 800;
+
 /// A task that can be stopped, and what that loses.
 #[derive(Debug, Clone, Copy)]
 struct Victim {
@@ -31,14 +45,15 @@
 }
 
 impl Planner {
-    /// Makes room for a group of the first priority that found none.
-    pub(crate) fn make_room(&mut self, group: GroupKey, now_ms: u64) {
+    /// Makes room for a group of the first priority that found none. While it can still wait, nothing is stopped: the
+    /// workers returned are kept for it, since other work ends there soon.
+    pub(crate) fn make_room(&mut self, group: GroupKey, now_ms: u64) -> Vec<WorkerKey> {
         let Some(job) = self.jobs.get(group.job) else {
-            return;
+            return Vec::new();
         };
         let at = &job.groups[group.group as usize];
-        if job.stored.priority != 0 || at.claim.is_some() {
-            return;
+        if job.stored.priority != 0 || at.dissolving_ms.is_some() {
+            return Vec::new();
         }
         let waiting: Vec<u32> = (0..)
             .zip(&at.units)
@@ -47,14 +62,18 @@
             .collect();
         let gang = self.is_gang(group);
         if waiting.is_empty() || (gang && waiting.len() < at.units.len()) {
-            return;
+            return Vec::new();
         }
         let Some(plan) = self.plan_room(group, waiting.len(), now_ms) else {
-            return;
+            return Vec::new();
         };
+        let waited_ms = now_ms.saturating_sub(at.ready_ms.unwrap_or(now_ms));
+        if plan.loss > self.bearable_loss(group, waited_ms) {
+            return plan.places;
+        }
         let id = job.stored.id;
         let why = format!(
-            "stops {} tasks for {} of priority 0, loss {} core-ms",
+            "waited {waited_ms} ms; stops {} tasks for {} of priority 0, loss {} core-ms",
             plan.victims.len(),
             plan.places.len(),
             plan.loss
@@ -66,6 +85,47 @@
         let places = waiting.into_iter().zip(plan.places).collect();
         self.claim_room(group, places, now_ms);
         self.changed = true;
+        Vec::new()
+    }
+
+    /// The work, in core-milliseconds, that may be lost so that a group starts now. It grows while the group can still
+    /// be on time, and has no bound once its organisation's guarantee would be broken otherwise.
+    fn bearable_loss(&self, group: GroupKey, waited_ms: u64) -> i64 {
+        let job = &self.jobs[group.job];
+        let step = job.step_of(group.group as usize);
+        let stop_ms = self.limits.stop_grace_ms + START_MARGIN_MS;
+        let reclaim_ms = self
+            .limits
+            .reclaim_ms
+            .saturating_sub(stop_ms + RECLAIM_MARGIN_MS);
+        if waited_ms >= reclaim_ms && self.is_guaranteed(group.job) {
+            return i64::MAX;
+        }
+        let stretch_ms =
+            step.estimate_ms * u64::from(job.stored.stretch_percent.saturating_sub(100)) / 100;
+        let slack_ms = (stretch_ms + job.stored.goal_ms)
+            .saturating_sub(stop_ms)
+            .max(1);
+        match waited_ms > slack_ms {
+            true => LEAST_BEARABLE,
+            false => MOST_BEARABLE,
+        }
+    }
+
+    /// Whether a job of the first priority has its organisation's guarantee: its unfinished ones need no more together.
+    fn is_guaranteed(&self, key: JobKey) -> bool {
+        let organisation = &self.jobs[key].stored.organisation;
+        let needed: i64 = self
+            .jobs
+            .values()
+            .filter(|job| {
+                job.stored.priority == 0
+                    && &job.stored.organisation == organisation
+                    && !job.state.is_final()
+            })
+            .map(Job::accelerators)
+            .sum();
+        needed <= self.guaranteed.get(organisation).copied().unwrap_or(0)
     }
 
     /// Stops a task, with its whole gang if it has one.
--- a/crates/scheduler/src/record.rs
+++ b/crates/scheduler/src/record.rs
@@ -22,6 +22,12 @@
     pub priority: u32,
     /// How many failed runs of a task are borne.
     pub attempts: u32,
+    /// A job is on time if it takes at most this share of its longest chain of work, in hundredths, ...
+    #[serde(default)]
+    pub stretch_percent: u32,
+    /// ... and this much more.
+    #[serde(default)]
+    pub goal_ms: u64,
     /// Who says which workers may run its steps, if the queue has such a policy.
     #[serde(default)]
     pub advice: Option<Advice>,
--- a/crates/scheduler/src/schedule.rs
+++ b/crates/scheduler/src/schedule.rs
@@ -1,5 +1,7 @@
 //! One planning pass: whose turn it is, and where each task goes.
 
+use std::collections::HashSet;
+
 use crate::fit::{find_best_spot, find_places, find_places_on_one_rack};
 use crate::group::{GroupKey, JobKey, Phase, UnitKey};
 use crate::job::JobState;
@@ -16,17 +18,16 @@
         self.expire_leases(now_ms);
         self.stop_left_members(now_ms);
         self.settle_claims(now_ms);
-        let turns = self.list_turns(now_ms, unix_ms);
-        for group in &turns {
+        let mut kept = HashSet::new();
+        for group in self.list_turns(now_ms, unix_ms) {
             if self.jobs[group.job].groups[group.group as usize]
                 .claim
-                .is_none()
+                .is_some()
             {
-                self.place_group(*group, now_ms);
+                continue;
             }
-        }
-        for group in turns {
-            self.make_room(group, now_ms);
+            self.place_group(group, &kept, now_ms);
+            kept.extend(self.make_room(group, now_ms));
         }
     }
 
@@ -69,11 +70,11 @@
         turns.into_iter().map(|(_, _, group)| group).collect()
     }
 
-    /// Starts what fits of a group.
-    fn place_group(&mut self, group: GroupKey, now_ms: u64) {
+    /// Starts what fits of a group, without the workers that are kept for groups of the first priority.
+    fn place_group(&mut self, group: GroupKey, kept: &HashSet<WorkerKey>, now_ms: u64) {
         match self.is_gang(group) {
-            true => self.place_gang(group, now_ms),
-            false => self.place_each(group, now_ms),
+            true => self.place_gang(group, kept, now_ms),
+            false => self.place_each(group, kept, now_ms),
         }
     }
 
@@ -88,7 +89,7 @@
     }
 
     /// Places a whole gang, or nothing of it.
-    fn place_gang(&mut self, group: GroupKey, now_ms: u64) {
+    fn place_gang(&mut self, group: GroupKey, kept: &HashSet<WorkerKey>, now_ms: u64) {
         let job = &self.jobs[group.job];
         let at = &job.groups[group.group as usize];
         let count = at.units.len();
@@ -102,6 +103,9 @@
         let step = job.step_of(group.group as usize);
         let need = self.need(group);
         let mut spots = self.spots(group, now_ms);
+        if job.stored.priority != 0 {
+            spots.retain(|spot| !kept.contains(&spot.worker));
+        }
         let tired = self.is_tired_of_waiting(group, now_ms);
         if let Some(rack) = &step.data_rack
             && !tired
@@ -123,11 +127,14 @@
     }
 
     /// Places each task of a group that fits somewhere.
-    fn place_each(&mut self, group: GroupKey, now_ms: u64) {
+    fn place_each(&mut self, group: GroupKey, kept: &HashSet<WorkerKey>, now_ms: u64) {
         let job = &self.jobs[group.job];
         let step = job.step_of(group.group as usize);
         let need = self.need(group);
         let mut spots = self.spots(group, now_ms);
+        if job.stored.priority != 0 {
+            spots.retain(|spot| !kept.contains(&spot.worker));
+        }
         if let Some(rack) = step
             .data_rack
             .as_ref()
