Do not take unlisted workers for lives that replaced each other

Cause: after a take-over, workers whose entries had lapsed were held without an address, and the rule that a new life at an address ends the one before then ended all but one of them: their tasks were started again elsewhere.

--- a/crates/scheduler/src/events.rs
+++ b/crates/scheduler/src/events.rs
@@ -69,7 +69,9 @@
             .workers
             .iter()
             .filter(|(_, w)| {
-                w.entry.address == entry.address && w.entry.born_unix_ms < entry.born_unix_ms
+                !entry.address.is_empty()
+                    && w.entry.address == entry.address
+                    && w.entry.born_unix_ms < entry.born_unix_ms
             })
             .map(|(key, _)| key)
             .collect();
--- /dev/null
+++ b/crates/scheduler/tests/support/mod.rs
@@ -0,0 +1,219 @@
+//! A planner with workers, driven by hand.
+
+#![allow(dead_code)]
+
+use scheduler::prelude::*;
+use scheduler::{EndHow, EndRow, Flush, JobRecord, Listing, RunRow, StartOutcome, Timing};
+
+/// Bounds as one of the deployments has them.
+pub fn limits() -> Limits {
+    Limits {
+        lease_ms: 9_500,
+        predecessor_holds_ms: 14_500,
+        stop_grace_ms: 400,
+        gang_timeout_ms: 3_000,
+        reclaim_ms: 2_900,
+        silent_ms: 2_900,
+        remote_slowdown: 3,
+    }
+}
+
+/// A worker with 64 cores, 128 GB and 8 accelerators.
+pub fn entry(number: u32) -> WorkerEntry {
+    WorkerEntry {
+        id: format!("i-{number}"),
+        born_unix_ms: 1_000,
+        address: format!("10.0.0.{number}:80"),
+        service: "engine".to_string(),
+        data_centre: "gyor".to_string(),
+        leaving: false,
+        remaining_ms: None,
+        capacity: Need {
+            cpu_millis: 64_000,
+            memory_mb: 131_072,
+            accelerators: 8,
+        },
+        labels: vec!["a".to_string(), format!("rack-{}", number / 8)],
+        rack: format!("rack-{}", number / 8),
+    }
+}
+
+/// A step of `count` tasks with `accelerators` each.
+pub fn step(count: u32, accelerators: i64) -> StepSpec {
+    StepSpec {
+        count,
+        need: Need {
+            cpu_millis: 1_000,
+            memory_mb: 1_000,
+            accelerators,
+        },
+        estimate_ms: 2_000,
+        ..StepSpec::default()
+    }
+}
+
+/// A job of the given steps.
+pub fn job(id: u64, priority: u32, steps: Vec<StepSpec>) -> StoredJob {
+    StoredJob {
+        id: format!("{id:016x}").parse().unwrap(),
+        queue: "queue".to_string(),
+        organisation: "desk".to_string(),
+        service: "engine".to_string(),
+        priority,
+        attempts: 2,
+        stretch_percent: 150,
+        goal_ms: 400,
+        advice: None,
+        request: JobRequest::check("text".to_string(), steps, Timing::default()).unwrap(),
+    }
+}
+
+/// A planner and its time.
+pub struct Bench {
+    pub planner: Planner,
+    pub now_ms: u64,
+    pub workers: Vec<WorkerKey>,
+}
+
+impl Bench {
+    /// A planner that has heard from `count` workers.
+    pub fn with_workers(count: u32) -> Bench {
+        let mut bench = Bench {
+            planner: Planner::new(limits(), 10_000),
+            now_ms: 10_000,
+            workers: Vec::new(),
+        };
+        bench.list((0..count).map(entry).collect());
+        for at in 0..count as usize {
+            bench.report(at, vec![], vec![]);
+        }
+        bench
+    }
+
+    /// The platform lists these workers; those new to the planner are remembered in order.
+    pub fn list(&mut self, entries: Vec<WorkerEntry>) {
+        let added = self.planner.list_workers(Listing { entries }, self.now_ms);
+        self.workers.extend(added);
+    }
+
+    /// A worker answers a renewal that was sent just now.
+    pub fn report(&mut self, at: usize, running: Vec<RunRow>, ended: Vec<EndRow>) {
+        let report = HoldReport {
+            sent_ms: self.now_ms,
+            received_ms: self.now_ms,
+            worker_clock_ms: 500_000 + self.now_ms,
+            born_unix_ms: None,
+            running,
+            ended,
+        };
+        self.planner.take_report(self.workers[at], &report);
+    }
+
+    /// Plans, stores what was decided, and returns the orders that may be sent then.
+    pub fn plan(&mut self) -> Vec<Order> {
+        let (orders, flush) = self.plan_without_store();
+        self.planner.complete_flush(flush);
+        [orders, self.take_orders()].concat()
+    }
+
+    /// Plans, and stores nothing yet.
+    pub fn plan_without_store(&mut self) -> (Vec<Order>, Flush) {
+        self.planner.plan(self.now_ms, self.now_ms);
+        let flush = self.planner.begin_flush(self.now_ms);
+        (self.take_orders(), flush)
+    }
+
+    /// Orders as the process sends them: each start carries a lease.
+    pub fn take_orders(&mut self) -> Vec<Order> {
+        let orders = self.planner.take_orders();
+        for order in &orders {
+            if let Order::Start { worker, .. } = order {
+                self.planner.grant_lease(*worker);
+            }
+        }
+        orders
+    }
+
+    /// The worker confirms a start.
+    pub fn confirm(&mut self, order: &Order) {
+        self.outcome(
+            order,
+            StartOutcome::Started {
+                received_ms: self.now_ms,
+            },
+        );
+    }
+
+    /// A start comes to something.
+    pub fn outcome(&mut self, order: &Order, outcome: StartOutcome) {
+        if let Order::Start { unit, run, .. } = order {
+            self.planner.take_start(*unit, *run, outcome, self.now_ms);
+        }
+    }
+
+    /// Plans and confirms all starts; returns them.
+    pub fn start_all(&mut self) -> Vec<Order> {
+        let orders = self.plan();
+        for order in &orders {
+            self.confirm(order);
+        }
+        orders
+    }
+
+    /// The records that the planner would write now.
+    pub fn records(&mut self) -> Vec<JobRecord> {
+        self.planner
+            .begin_flush(self.now_ms)
+            .writes
+            .into_iter()
+            .map(|write| write.record)
+            .collect()
+    }
+}
+
+/// Starts among orders: the task's name and run.
+pub fn starts(orders: &[Order]) -> Vec<(String, u32)> {
+    orders
+        .iter()
+        .filter_map(|order| match order {
+            Order::Start { task, run, .. } => Some((task.to_string(), *run)),
+            Order::Stop { .. } => None,
+        })
+        .collect()
+}
+
+/// Stops among orders: the task's name and run.
+pub fn stops(orders: &[Order]) -> Vec<(String, u32)> {
+    orders
+        .iter()
+        .filter_map(|order| match order {
+            Order::Stop { task, run, .. } => Some((task.to_string(), *run)),
+            Order::Start { .. } => None,
+        })
+        .collect()
+}
+
+/// A row of the list of running tasks for a start.
+pub fn running(order: &Order) -> RunRow {
+    match order {
+        Order::Start { task, run, .. } | Order::Stop { task, run, .. } => RunRow {
+            task: *task,
+            run: *run,
+            progress: String::new(),
+            percent: 10,
+        },
+    }
+}
+
+/// A row of the list of ends for a start.
+pub fn ended(order: &Order, number: u64, how: EndHow, progress: &str) -> EndRow {
+    match order {
+        Order::Start { task, run, .. } | Order::Stop { task, run, .. } => EndRow {
+            number,
+            task: Some(*task),
+            run: *run,
+            how,
+            progress: progress.to_string(),
+        },
+    }
+}
