--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -145,8 +145,8 @@
     }
     node.stopping.store(true, Ordering::Relaxed);
     node.log.general("node", "stopping", &[]);
-    release_lead(&node).await;
-    wait_until_idle(&node).await;
+    // Both at once: a store that does not answer must not take from the time that callers' requests have.
+    tokio::join!(wait_until_idle(&node), release_lead(&node));
     node.log.general("node", "stopped", &[]);
     Ok(())
 }
