--- a/crates/control/src/holds.rs
+++ b/crates/control/src/holds.rs
@@ -13,6 +13,9 @@
 /// How long a renewal waits at the worker for an end; the platform's page allows this much.
 const WAIT_MS: u64 = 2_000;
 
+/// The same at a worker where some tasks fill what others that serve users leave: their figures change in seconds.
+const SHARED_WAIT_MS: u64 = 400;
+
 /// How long to wait for ends to be stored before the worker is asked again.
 const STORING_MS: u64 = 300;
 
@@ -72,15 +75,16 @@
         true => planner.grant_lease(key),
         false => None,
     };
+    let wait_ms = match at_once || planner.has_unstored_ends(key) {
+        true => 0,
+        false if planner.is_shared(key) => SHARED_WAIT_MS,
+        false => WAIT_MS,
+    };
     let hold = Hold {
         term: term.lead.term,
         lease_end_clock_ms,
         ends_confirmed: planner.confirmed_ends(key),
-        wait_ms: if at_once || planner.has_unstored_ends(key) {
-            0
-        } else {
-            WAIT_MS
-        },
+        wait_ms,
     };
     Some((entry, hold))
 }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 
-use adapter::{CallError, HttpCaller, HttpLimits, StoreClient, WorkerClient};
+use adapter::{AdviceClient, CallError, HttpCaller, HttpLimits, StoreClient, WorkerClient};
 use poem::Server;
 use poem::listener::TcpListener;
 use scheduler::{JobId, JobState};
@@ -54,6 +54,9 @@
     pub settings: Settings,
     pub store: StoreClient,
     pub workers: WorkerClient,
+    pub advice: Option<AdviceClient>,
+    /// The service answers one question of a node at a time.
+    pub advice_turn: tokio::sync::Mutex<()>,
     pub contact: Contact,
     pub configuration_changed: Notify,
     pub log: Log,
@@ -105,6 +108,10 @@
     let http = HttpCaller::new(limits)?;
     let node = Arc::new(Node {
         store: StoreClient::new(&settings.store.to_string(), http.clone()),
+        advice: settings
+            .advice
+            .map(|address| AdviceClient::new(&address.to_string(), http.clone())),
+        advice_turn: tokio::sync::Mutex::new(()),
         workers: WorkerClient::new(http, ORDER_TIMEOUT_MS),
         contact: Contact::default(),
         configuration_changed: Notify::new(),
--- a/crates/control/src/orders.rs
+++ b/crates/control/src/orders.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use adapter::{CallError, StartDetails, WorkerReply};
-use scheduler::{Order, StartOutcome, StopOutcome, WorkerEntry};
+use scheduler::{AdviceAnswer, GroupKey, Order, StartOutcome, StopOutcome, WorkerEntry, WorkerKey};
 
 use crate::clock::now_ms;
 use crate::metrics::{Counter, Timing};
@@ -16,6 +16,9 @@
 /// How often a planner that is not sure of its lead looks whether it may send a start.
 const LEAD_LOOK_MS: u64 = 20;
 
+/// How long the service that gives tickets may take; it takes longer the more workers a question names.
+const ADVICE_TIMEOUT_MS: u64 = 5_000;
+
 /// Sends all orders that wait.
 pub(crate) fn dispatch_orders(term: &Arc<Term>) {
     let orders = {
@@ -25,19 +28,32 @@
             .into_iter()
             .map(|order| {
                 let worker = match &order {
-                    Order::Start { worker, .. } | Order::Stop { worker, .. } => *worker,
+                    Order::Start { worker, .. }
+                    | Order::Stop { worker, .. }
+                    | Order::Pace { worker, .. } => Some(*worker),
+                    Order::Ask { .. } => None,
                 };
                 let lease = match &order {
-                    Order::Start { .. } => planner.grant_lease(worker),
-                    Order::Stop { .. } => None,
+                    Order::Start { worker, .. } => planner.grant_lease(*worker),
+                    _ => None,
                 };
-                (order, planner.entry(worker).cloned(), lease)
+                (order, worker.and_then(|w| planner.entry(w).cloned()), lease)
             })
             .collect::<Vec<_>>()
     };
     for (order, entry, lease) in orders {
-        if let Some(entry) = entry {
-            term.spawn(carry_out(term.clone(), order, entry, lease));
+        match (order, entry) {
+            (
+                Order::Ask {
+                    group,
+                    step,
+                    workers,
+                },
+                _,
+            ) => term.spawn(ask(term.clone(), group, step, workers)),
+            (order, Some(entry)) => term.spawn(carry_out(term.clone(), order, entry, lease)),
+            // The worker's life is over, and so is what ran there.
+            (_, None) => {}
         }
     }
 }
@@ -65,6 +81,7 @@
             run,
             text,
             progress,
+            ticket,
             ..
         } => {
             let outcome = match lease_end_clock_ms {
@@ -76,7 +93,7 @@
                         text: &text,
                         lease_end_clock_ms,
                         progress: &progress,
-                        ticket: "",
+                        ticket: &ticket,
                     };
                     let workers = &term.node.workers;
                     start_outcome(
@@ -89,6 +106,23 @@
             };
             term.planner().take_start(unit, run, outcome, now_ms());
         }
+        Order::Pace {
+            unit,
+            task,
+            run,
+            percent,
+            ..
+        } => {
+            let result = term
+                .node
+                .workers
+                .pace(&entry, term.lead.term, task, run, percent)
+                .await;
+            if !matches!(result, Ok(WorkerReply::Done)) {
+                term.planner().forget_pace(unit, run);
+            }
+        }
+        Order::Ask { .. } => {}
         Order::Stop {
             unit, task, run, ..
         } => {
@@ -109,6 +143,27 @@
     term.wake.notify_one();
 }
 
+/// Asks which workers may run a step, when it is this node's turn.
+async fn ask(term: Arc<Term>, group: GroupKey, step: String, workers: Vec<(WorkerKey, String)>) {
+    let (keys, ids): (Vec<WorkerKey>, Vec<String>) = workers.into_iter().unzip();
+    let answer = match &term.node.advice {
+        Some(advice) => {
+            let _turn = term.node.advice_turn.lock().await;
+            advice.ask(&step, &ids, ADVICE_TIMEOUT_MS).await.ok()
+        }
+        None => None,
+    };
+    let received_ms = now_ms();
+    let answer = answer.map(|advised| AdviceAnswer {
+        good: advised.good,
+        valid_ms: advised.valid_ms,
+        received_ms,
+    });
+    term.planner()
+        .take_advice(group, &keys, answer, received_ms);
+    term.wake.notify_one();
+}
+
 fn start_outcome(result: Result<WorkerReply, CallError>) -> StartOutcome {
     match result {
         Ok(WorkerReply::Done) => StartOutcome::Started {
--- /dev/null
+++ b/crates/scheduler/src/advice.rs
@@ -0,0 +1,173 @@
+//! Tickets for steps that only some workers may run.
+
+use std::collections::HashMap;
+
+use crate::group::{GroupKey, Phase};
+use crate::orders::{AdviceAnswer, Order};
+use crate::planner::Planner;
+use crate::worker::{Worker, WorkerKey};
+
+/// Workers that one question names: the objective of a step counts one question on this many.
+const WORKERS_A_QUESTION: usize = 30;
+
+/// A ticket that lasts less than this any more is not used: the choice has to be stored and sent first.
+const TICKET_MARGIN_MS: u64 = 250;
+
+/// The pause after a question that got no answer.
+const AFTER_SILENCE_MS: u64 = 300;
+
+/// What is known of a worker for a step; whether it may run the step does not change.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Verdict {
+    MayNot,
+    /// It may, with this ticket, until then.
+    May {
+        ticket: String,
+        until_ms: u64,
+    },
+}
+
+/// What is known of all workers for a step.
+#[derive(Debug, Default)]
+pub(crate) struct Tickets {
+    verdicts: HashMap<WorkerKey, Verdict>,
+    in_flight: bool,
+    not_before_ms: u64,
+}
+
+impl Tickets {
+    /// The ticket for a worker, if one is in force.
+    fn find(&self, worker: WorkerKey, now_ms: u64) -> Option<&str> {
+        match self.verdicts.get(&worker)? {
+            Verdict::May { ticket, until_ms } if now_ms + TICKET_MARGIN_MS < *until_ms => {
+                Some(ticket)
+            }
+            _ => None,
+        }
+    }
+
+    /// Whether asking about a worker can bring a ticket.
+    fn is_open(&self, worker: WorkerKey) -> bool {
+        self.verdicts.get(&worker) != Some(&Verdict::MayNot)
+    }
+
+    /// Forgets a ticket that a worker refused.
+    pub fn forget(&mut self, worker: WorkerKey) {
+        self.verdicts.remove(&worker);
+    }
+}
+
+impl Planner {
+    /// Whether a worker may run tasks of a group now, as far as tickets go.
+    pub(crate) fn has_ticket(&self, group: GroupKey, worker: WorkerKey, now_ms: u64) -> bool {
+        let job = &self.jobs[group.job];
+        job.stored.advice.is_none()
+            || job.groups[group.group as usize]
+                .tickets
+                .find(worker, now_ms)
+                .is_some()
+    }
+
+    /// The ticket that a start of a group on a worker carries; empty if none is needed.
+    pub(crate) fn ticket(&self, group: GroupKey, worker: WorkerKey) -> String {
+        match self.jobs[group.job].groups[group.group as usize]
+            .tickets
+            .verdicts
+            .get(&worker)
+        {
+            Some(Verdict::May { ticket, .. }) => ticket.clone(),
+            _ => String::new(),
+        }
+    }
+
+    /// Asks which workers may run a group that found no place, one question at a time.
+    pub(crate) fn ask_advice(&mut self, group: GroupKey, now_ms: u64) {
+        let Some(job) = self.jobs.get(group.job) else {
+            return;
+        };
+        let at = &job.groups[group.group as usize];
+        let waits = at.units.iter().any(|unit| unit.phase == Phase::Waiting);
+        if job.stored.advice.is_none()
+            || !waits
+            || at.tickets.in_flight
+            || now_ms < at.tickets.not_before_ms
+        {
+            return;
+        }
+        let need = self.need(group);
+        let mut open: Vec<(WorkerKey, &Worker)> = self
+            .workers
+            .iter()
+            .filter(|(key, worker)| {
+                self.is_usable(worker, now_ms)
+                    && self.suits(group, worker)
+                    && at.tickets.is_open(*key)
+                    && at.tickets.find(*key, now_ms).is_none()
+            })
+            .collect();
+        // Workers that are known to be allowed come first, then those with room.
+        open.sort_by_key(|(key, worker)| {
+            (
+                !at.tickets.verdicts.contains_key(key),
+                !need.fits(&worker.free()),
+                worker.free().accelerators,
+            )
+        });
+        let workers: Vec<(WorkerKey, String)> = open
+            .into_iter()
+            .take(WORKERS_A_QUESTION)
+            .map(|(key, worker)| (key, worker.entry.id.clone()))
+            .collect();
+        if workers.is_empty() {
+            return;
+        }
+        let step = format!("{}.{}.{}", job.stored.id, at.occurrence, at.step);
+        self.jobs[group.job].groups[group.group as usize]
+            .tickets
+            .in_flight = true;
+        self.orders.push(Order::Ask {
+            group,
+            step,
+            workers,
+        });
+    }
+
+    /// What came of a question about the workers named; none if it got no answer.
+    pub fn take_advice(
+        &mut self,
+        group: GroupKey,
+        asked: &[WorkerKey],
+        answer: Option<AdviceAnswer>,
+        now_ms: u64,
+    ) {
+        let by_id: HashMap<String, WorkerKey> = asked
+            .iter()
+            .filter_map(|key| {
+                self.workers
+                    .get(*key)
+                    .map(|worker| (worker.entry.id.clone(), *key))
+            })
+            .collect();
+        let Some(job) = self.jobs.get_mut(group.job) else {
+            return;
+        };
+        let tickets = &mut job.groups[group.group as usize].tickets;
+        tickets.in_flight = false;
+        self.changed = true;
+        let Some(answer) = answer else {
+            tickets.not_before_ms = now_ms + AFTER_SILENCE_MS;
+            return;
+        };
+        for key in by_id.values() {
+            tickets.verdicts.insert(*key, Verdict::MayNot);
+        }
+        let until_ms = answer.received_ms + answer.valid_ms;
+        for (id, ticket) in answer.good {
+            if let Some(key) = by_id.get(&id) {
+                tickets
+                    .verdicts
+                    .insert(*key, Verdict::May { ticket, until_ms });
+            }
+        }
+    }
+}
--- a/crates/scheduler/src/events.rs
+++ b/crates/scheduler/src/events.rs
@@ -9,7 +9,7 @@
 use crate::record::StoredJob;
 use crate::spec::Need;
 use crate::task::{JobId, TaskName};
-use crate::worker::{HoldReport, Listing, Worker, WorkerKey};
+use crate::worker::{HoldReport, Listing, RunRow, Worker, WorkerKey};
 
 /// How long a worker that no listing names and that runs nothing is kept in mind.
 const FORGET_UNLISTED_MS: u64 = 5_000;
@@ -227,6 +227,7 @@
             self.end_run(key, row, now_ms);
         }
         self.take_running(key, report, first);
+        self.set_pace(key, now_ms);
     }
 
     /// Compares what a worker lists as running with what ought to run there.
@@ -243,7 +244,7 @@
             match here {
                 Some(unit) => {
                     listed.insert(unit);
-                    self.note_progress(unit, key, &row.progress, row.percent, now_ms);
+                    self.note_progress(unit, key, row, now_ms);
                 }
                 None => {
                     strays.insert((row.task, row.run));
@@ -273,18 +274,13 @@
     }
 
     /// Takes in a row of the list of running tasks.
-    fn note_progress(
-        &mut self,
-        key: UnitKey,
-        worker: WorkerKey,
-        progress: &str,
-        percent: u32,
-        now_ms: u64,
-    ) {
+    fn note_progress(&mut self, key: UnitKey, worker: WorkerKey, row: &RunRow, now_ms: u64) {
+        let (progress, percent) = (row.progress.as_str(), row.percent);
         let gang = self.is_gang(key.group);
         let Some(unit) = self.unit_mut(key) else {
             return;
         };
+        unit.figure = row.figure;
         if percent > unit.percent {
             unit.percent = percent;
             unit.progressed_ms = now_ms;
@@ -431,6 +427,11 @@
         if doubted || why == StartOutcome::OldRun {
             return self.push_stop(key, worker, false, now_ms);
         }
+        if why == StartOutcome::NoTicket {
+            self.jobs[key.group.job].groups[key.group.group as usize]
+                .tickets
+                .forget(worker);
+        }
         if let Some(unit) = self.unit_mut(key) {
             unit.avoid = Some(worker);
             unit.not_before_ms = now_ms + AFTER_TURNED_AWAY_MS;
--- a/crates/scheduler/src/fit.rs
+++ b/crates/scheduler/src/fit.rs
@@ -145,6 +145,7 @@
         self.workers
             .iter()
             .filter(|(_, worker)| self.is_usable(worker, now_ms) && self.suits(group, worker))
+            .filter(|(key, _)| self.has_ticket(group, *key, now_ms))
             .map(|(key, worker)| Spot {
                 worker: key,
                 rack: worker.entry.rack.clone(),
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -2,6 +2,7 @@
 
 use slotmap::new_key_type;
 
+use crate::advice::Tickets;
 use crate::spec::StepSpec;
 use crate::worker::WorkerKey;
 
@@ -79,6 +80,11 @@
     pub failed: u32,
     /// The last progress known to be saved.
     pub progress: String,
+    /// What the worker last said of it: a serving task's tail in milliseconds, otherwise the processor in use.
+    pub figure: u64,
+    /// The share of its speed that it was set to, in hundredths, and when.
+    pub pace_percent: u32,
+    pub paced_ms: u64,
     /// How much of the work is done, in hundredths, as the worker last said.
     pub percent: u32,
     /// Since when it has been in its phase.
@@ -100,6 +106,9 @@
             run: 0,
             failed: 0,
             progress: String::new(),
+            figure: 0,
+            pace_percent: 100,
+            paced_ms: 0,
             percent: 0,
             since_ms: now_ms,
             started_ms: 0,
@@ -132,6 +141,8 @@
     /// The gang's last progress known to be saved.
     pub progress: String,
     pub claim: Option<Claim>,
+    /// Which workers may run it, if its queue has such a policy.
+    pub tickets: Tickets,
     /// Since when its turn has come.
     pub ready_ms: Option<u64>,
 }
@@ -146,6 +157,7 @@
             dissolving_ms: None,
             progress: String::new(),
             claim: None,
+            tickets: Tickets::default(),
             ready_ms: None,
         }
     }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -3,6 +3,7 @@
 //! Everything here is pure: events and a time in, orders and records out. [`Planner`] is the entry point; the process
 //! that holds the lead feeds it and carries out its [`Order`]s.
 
+mod advice;
 mod claims;
 mod configuration;
 mod ends;
@@ -13,6 +14,7 @@
 mod job;
 mod load;
 mod orders;
+mod pace;
 mod planner;
 mod preempt;
 pub mod prelude;
@@ -23,8 +25,9 @@
 mod worker;
 
 pub use configuration::{Advice, BodyLimits, Configuration, Denied, Organisation, Queue, Service};
+pub use group::{GroupKey, UnitKey};
 pub use job::JobState;
-pub use orders::{Flush, Order, RecordWrite, StartOutcome, StopOutcome};
+pub use orders::{AdviceAnswer, Flush, Order, RecordWrite, StartOutcome, StopOutcome};
 pub use planner::{Decision, Limits, Planner, RunCounts};
 pub use record::{GroupRecord, JobRecord, StoredJob, UnitRecord};
 pub use spec::{JobRequest, Need, SpecError, StepSpec, Timing};
--- a/crates/scheduler/src/orders.rs
+++ b/crates/scheduler/src/orders.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::group::UnitKey;
+use crate::group::{GroupKey, UnitKey};
 use crate::record::JobRecord;
 use crate::task::{JobId, TaskName};
 use crate::worker::WorkerKey;
@@ -24,9 +24,33 @@
         text: Arc<str>,
         /// Progress to resume from; empty for none.
         progress: String,
+        /// The ticket for the step on this worker; empty if none is needed.
+        ticket: String,
         /// Whether an earlier call of the same start got no answer.
         again: bool,
     },
+    /// Let a run that fills work at a share of its speed.
+    Pace {
+        /// The worker.
+        worker: WorkerKey,
+        /// Which task of the planner's.
+        unit: UnitKey,
+        /// Its name.
+        task: TaskName,
+        /// Which run.
+        run: u32,
+        /// The share, in hundredths.
+        percent: u32,
+    },
+    /// Ask which workers may run a step.
+    Ask {
+        /// The tasks of the step, in one occurrence.
+        group: GroupKey,
+        /// The step's name, `ID.OCCURRENCE.STEP`.
+        step: String,
+        /// The workers, and their ids.
+        workers: Vec<(WorkerKey, String)>,
+    },
     /// Stop a run.
     Stop {
         /// The worker.
@@ -42,6 +66,17 @@
     },
 }
 
+/// Which of the workers asked about may run a step.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AdviceAnswer {
+    /// Their ids, with a ticket each.
+    pub good: Vec<(String, String)>,
+    /// How long the tickets last.
+    pub valid_ms: u64,
+    /// When the answer arrived, on the planner's clock.
+    pub received_ms: u64,
+}
+
 /// What came of a start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StartOutcome {
--- a/crates/scheduler/src/planner.rs
+++ b/crates/scheduler/src/planner.rs
@@ -255,6 +255,7 @@
             run: unit.run,
             text: job.text.clone(),
             progress,
+            ticket: self.ticket(key.group, worker),
             again,
         });
     }
@@ -332,6 +333,8 @@
         unit.phase = phase;
         unit.run = run;
         unit.percent = 0;
+        unit.figure = 0;
+        (unit.pace_percent, unit.paced_ms) = (100, now_ms);
         unit.since_ms = now_ms;
         unit.progressed_ms = now_ms;
         if let Some(worker) = self.workers.get_mut(worker) {
--- a/crates/scheduler/src/schedule.rs
+++ b/crates/scheduler/src/schedule.rs
@@ -28,6 +28,7 @@
             }
             self.place_group(group, &kept, now_ms);
             kept.extend(self.make_room(group, now_ms));
+            self.ask_advice(group, now_ms);
         }
     }
 
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -57,6 +57,8 @@
     pub progress: String,
     /// How much of its work is done, in hundredths.
     pub percent: u32,
+    /// A rough figure for the last half second: a serving task's tail in milliseconds, otherwise the processor in use.
+    pub figure: u64,
 }
 
 /// How a run ended.
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -177,7 +177,7 @@
         .iter()
         .filter_map(|order| match order {
             Order::Start { task, run, .. } => Some((task.to_string(), *run)),
-            Order::Stop { .. } => None,
+            _ => None,
         })
         .collect()
 }
@@ -188,32 +188,51 @@
         .iter()
         .filter_map(|order| match order {
             Order::Stop { task, run, .. } => Some((task.to_string(), *run)),
-            Order::Start { .. } => None,
+            _ => None,
         })
         .collect()
 }
 
+/// The task and run that an order is about.
+fn subject(order: &Order) -> (scheduler::TaskName, u32) {
+    match order {
+        Order::Start { task, run, .. }
+        | Order::Stop { task, run, .. }
+        | Order::Pace { task, run, .. } => (*task, *run),
+        Order::Ask { .. } => panic!("a question is about no single task"),
+    }
+}
+
+/// The worker that an order goes to.
+pub fn worker_of(order: &Order) -> WorkerKey {
+    match order {
+        Order::Start { worker, .. } | Order::Stop { worker, .. } | Order::Pace { worker, .. } => {
+            *worker
+        }
+        Order::Ask { .. } => panic!("a question goes to no worker"),
+    }
+}
+
 /// A row of the list of running tasks for a start.
 pub fn running(order: &Order) -> RunRow {
-    match order {
-        Order::Start { task, run, .. } | Order::Stop { task, run, .. } => RunRow {
-            task: *task,
-            run: *run,
-            progress: String::new(),
-            percent: 10,
-        },
+    let (task, run) = subject(order);
+    RunRow {
+        task,
+        run,
+        progress: String::new(),
+        percent: 10,
+        figure: 0,
     }
 }
 
 /// A row of the list of ends for a start.
 pub fn ended(order: &Order, number: u64, how: EndHow, progress: &str) -> EndRow {
-    match order {
-        Order::Start { task, run, .. } | Order::Stop { task, run, .. } => EndRow {
-            number,
-            task: Some(*task),
-            run: *run,
-            how,
-            progress: progress.to_string(),
-        },
+    let (task, run) = subject(order);
+    EndRow {
+        number,
+        task: Some(task),
+        run,
+        how,
+        progress: progress.to_string(),
     }
 }
--- a/crates/scheduler/tests/takeover.rs
+++ b/crates/scheduler/tests/takeover.rs
@@ -48,6 +48,7 @@
         run: 1,
         progress: "saved".to_string(),
         percent: 40,
+        figure: 0,
     }
 }
 
@@ -215,10 +216,7 @@
         "the same run on the same worker"
     );
     bench.now_ms += limits().lease_ms;
-    let worker = match &orders[0] {
-        Order::Start { worker, .. } => *worker,
-        Order::Stop { .. } => panic!("a start was expected"),
-    };
+    let worker = support::worker_of(&orders[0]);
     let other = bench.workers.iter().position(|w| *w != worker).unwrap();
     bench.report(other, vec![], vec![]);
     assert!(
