Refuse at once on a node that lost contact with the store

A node whose configuration was not confirmed for 2 s now answers 503 and is not ready; a call is given up after two tries without an answer.

--- a/crates/control/src/configuration.rs
+++ b/crates/control/src/configuration.rs
@@ -10,10 +10,10 @@
 use crate::node::Node;
 
 /// How long one watch waits: each that ends confirms the configuration, so this bounds how old that can be.
-const WATCH_WAIT_MS: u64 = 1_000;
+const WATCH_WAIT_MS: u64 = 600;
 
 /// How long a call may take beyond its waiting.
-const CALL_TIMEOUT_MS: u64 = 900;
+const CALL_TIMEOUT_MS: u64 = 800;
 
 /// The pause after a call that failed.
 const RETRY_PAUSE_MS: u64 = 150;
--- a/crates/control/src/intake.rs
+++ b/crates/control/src/intake.rs
@@ -25,6 +25,9 @@
 /// Calls that the store certainly did not carry out, before the caller is refused.
 const MOST_NOT_DONE: u32 = 3;
 
+/// Calls without an answer, before the caller is sent to another node.
+const MOST_UNANSWERED: u32 = 2;
+
 /// Takes in a job that a caller hands in.
 pub(crate) async fn accept_job(node: &Arc<Node>, call: &Call, id: JobId, body: &[u8]) -> Reply {
     let request = match decode_job(body) {
@@ -158,6 +161,7 @@
 pub(crate) struct Tries {
     not_done: u32,
     unknown: bool,
+    unanswered: u32,
 }
 
 impl Tries {
@@ -207,6 +211,10 @@
             CallError::Unknown(_) | CallError::Unreadable(_) => {
                 node.metrics.count(Counter::StoreRetriesUnknown);
                 tries.unknown = true;
+                tries.unanswered += 1;
+                if tries.unanswered >= MOST_UNANSWERED {
+                    return Err(tries.give_up("the store does not answer"));
+                }
             }
         }
         tokio::time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -31,6 +31,10 @@
 /// How long a worker may take to answer an order.
 const ORDER_TIMEOUT_MS: u64 = 700;
 
+/// A node whose configuration was confirmed longer ago than this has lost contact: a confirmation is at most twice a
+/// watch's wait old, and a store that is 80 times slower than usual adds two thirds of a second.
+const OUT_OF_CONTACT_MS: u64 = 2_000;
+
 /// Final states that a node remembers at most.
 const MOST_FINAL_STATES: usize = 8_192;
 
@@ -72,10 +76,11 @@
 }
 
 impl Node {
-    /// The oldest confirmation of the configuration that calls with a key may rest on.
-    pub fn oldest_confirmation_ms(&self, now_ms: u64) -> u64 {
-        // The platform counts a node as out of touch after 0.6 of this bound.
-        now_ms.saturating_sub(self.settings.bounds.revoke_ms * 6 / 10)
+    /// The oldest confirmation with which a node still sends calls to the store. Older, and the store has not answered
+    /// for a second at least: a caller is served sooner by another node.
+    pub fn oldest_contact_ms(&self, now_ms: u64) -> u64 {
+        // The platform counts a node as out of touch after 0.6 of the bound on revoked keys.
+        now_ms.saturating_sub(OUT_OF_CONTACT_MS.min(self.settings.bounds.revoke_ms * 6 / 10))
     }
 
     /// Remembers a state that stays.
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -135,7 +135,7 @@
 
 /// Finds out what a call asks for, and does it.
 async fn handle(node: &Arc<Node>, call: &Call, method: &Method, body: &[u8]) -> Reply {
-    let Some(now) = node.contact.in_force(node.oldest_confirmation_ms(now_ms())) else {
+    let Some(now) = node.contact.in_force(node.oldest_contact_ms(now_ms())) else {
         return Reply::refused(
             StatusCode::SERVICE_UNAVAILABLE,
             Counter::RefusedNoConfiguration,
@@ -256,7 +256,7 @@
         let node = &self.0;
         let fresh = node
             .contact
-            .in_force(node.oldest_confirmation_ms(now_ms()))
+            .in_force(node.oldest_contact_ms(now_ms()))
             .is_some();
         let ready = fresh && !node.is_stopping();
         let status = if ready {
