--- a/crates/control/src/log.rs
+++ b/crates/control/src/log.rs
@@ -40,14 +40,24 @@
             .name("log".to_string())
             .stack_size(64 * 1024)
             .spawn(move || write_lines(&queue, &lost))?;
-        Ok(Log {
+        Ok(Log::on(node, lines, dropped))
+    }
+
+    /// A log that writes nothing, for nodes in tests.
+    pub fn silent(node: &str) -> Log {
+        let (lines, _) = sync_channel(1);
+        Log::on(node, lines, Arc::new(AtomicU64::new(0)))
+    }
+
+    fn on(node: &str, lines: SyncSender<String>, dropped: Arc<AtomicU64>) -> Log {
+        Log {
             node: node.into(),
             lines,
             dropped,
             second: Arc::new(AtomicU64::new(0)),
             general: Arc::new(AtomicU64::new(0)),
             suppressed: Arc::new(AtomicU64::new(0)),
-        })
+        }
     }
 
     /// Lines that were not written, for want of room or to bound the volume.
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -115,6 +115,22 @@
     pub bounds: Bounds,
 }
 
+/// JSON with comments and trailing commas, and no other liberties.
+fn strict_options() -> ParseOptions {
+    ParseOptions {
+        allow_comments: true,
+        allow_trailing_commas: true,
+        allow_loose_object_property_names: false,
+        allow_missing_commas: false,
+        allow_single_quoted_strings: false,
+        allow_hexadecimal_numbers: false,
+        allow_unary_plus_numbers: false,
+        allow_bare_decimal_point_numbers: false,
+        allow_non_finite_numbers: false,
+        allow_extended_string_escapes: false,
+    }
+}
+
 impl Settings {
     /// Reads and checks a settings file; all findings are reported together.
     pub fn parse(file: &str, text: &str) -> Result<Settings, Vec<Finding>> {
@@ -123,13 +139,13 @@
             place: place.to_string(),
             detail,
         };
-        let raw: RawSettings = jsonc_parser::parse_to_serde_value(text, &ParseOptions::default())
+        let raw: RawSettings = jsonc_parser::parse_to_serde_value(text, &strict_options())
             .map_err(|e| {
-            vec![finding(
-                &format!("line {}, column {}", e.line_display(), e.column_display()),
-                e.kind().to_string(),
-            )]
-        })?;
+                vec![finding(
+                    &format!("line {}, column {}", e.line_display(), e.column_display()),
+                    e.kind().to_string(),
+                )]
+            })?;
         let mut findings = Vec::new();
         let mut address = |field: &str, text: &str| {
             text.parse::<SocketAddrV4>().unwrap_or_else(|_| {
--- /dev/null
+++ b/crates/control/tests/calls.rs
@@ -0,0 +1,124 @@
+//! What callers are told: keys, queues, bodies, cancels, counts.
+
+mod support;
+
+use std::time::Duration;
+
+use rstest::rstest;
+use serde_json::Value;
+use support::{KEY, Site, configuration};
+
+const LONG: Duration = Duration::from_secs(3_600);
+
+#[tokio::test(flavor = "multi_thread")]
+async fn cancelled_job_stops() {
+    let site = Site::start(1, LONG).await;
+    assert_eq!(site.submit(0, 1, 3).await, 200);
+    site.wait("it runs", async |site| site.audit.running() == 3)
+        .await;
+    let path = format!("/q/{:016x}", 1);
+    let cancelled = site
+        .call(0, "DELETE", &path, KEY, String::new())
+        .await
+        .unwrap();
+    assert_eq!(cancelled.status(), 200);
+    site.wait("it stops", async |site| site.audit.running() == 0)
+        .await;
+    site.wait("cancelled", async |site| {
+        site.state(0, 1).await == "cancelled"
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn revoked_key_is_refused_by_the_write_itself() {
+    let site = Site::start(1, LONG).await;
+    assert_eq!(site.submit(0, 1, 1).await, 200);
+    site.store
+        .write("op/config", &configuration(2, &["another-key"]));
+    assert_eq!(
+        site.submit(0, 2, 1).await,
+        401,
+        "at once, not when the node hears of it"
+    );
+    assert!(
+        site.store
+            .keys("q/j/")
+            .iter()
+            .all(|key| !key.ends_with('2'))
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn unreadable_configuration_changes_nothing() {
+    let site = Site::start(1, LONG).await;
+    site.store.write("op/config", "{\"version\":");
+    site.store.write("servers/i-9", "not an entry");
+    site.wait("still known", async |site| {
+        site.state(0, 7).await.is_empty() && site.is_ready(0).await
+    })
+    .await;
+}
+
+#[rstest]
+#[case::not_json("{", 400, "line 1, column 1")]
+#[case::no_steps("{\"spec\":\"x\",\"steps\":[]}", 400, "steps")]
+#[case::no_tasks("{\"spec\":\"x\",\"steps\":[{\"count\":0}]}", 400, "steps[0].count")]
+#[case::waits_for_itself("{\"steps\":[{\"count\":1,\"after\":[0]}]}", 400, "steps[0].after")]
+#[tokio::test(flavor = "multi_thread")]
+async fn body_is_refused_with_its_place(
+    #[case] body: &str,
+    #[case] status: u16,
+    #[case] place: &str,
+) {
+    let site = Site::start(0, LONG).await;
+    let path = format!("/q/{:016x}", 1);
+    let response = site
+        .call(0, "POST", &path, KEY, body.to_string())
+        .await
+        .unwrap();
+    assert_eq!(response.status().as_u16(), status);
+    let body: Value = response.json().await.unwrap();
+    assert!(body["detail"].as_str().unwrap().contains(place), "{body}");
+}
+
+#[rstest]
+#[case::too_large("POST", "/q/0000000000000001", KEY, 413)]
+#[case::no_queue("GET", "/other/0000000000000001", KEY, 404)]
+#[case::unknown_key("GET", "/q/0000000000000001", "wrong", 401)]
+#[case::no_such_job("GET", "/q/0000000000000001", KEY, 410)]
+#[case::cancel_of_no_job("DELETE", "/q/0000000000000001", KEY, 410)]
+#[case::bad_id("GET", "/q/1", KEY, 400)]
+#[tokio::test(flavor = "multi_thread")]
+async fn call_is_answered(
+    #[case] method: &str,
+    #[case] path: &str,
+    #[case] key: &str,
+    #[case] status: u16,
+) {
+    let site = Site::start(0, LONG).await;
+    let response = site
+        .call(0, method, path, key, "x".repeat(5_000))
+        .await
+        .unwrap();
+    assert_eq!(response.status().as_u16(), status);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn waiting_jobs_are_counted() {
+    let site = Site::start(0, LONG).await;
+    assert_eq!(
+        (site.submit(0, 1, 1).await, site.submit(0, 2, 1).await),
+        (200, 200)
+    );
+    site.wait("two wait", async |site| {
+        let Some(response) = site.call(0, "GET", "/q/", KEY, String::new()).await else {
+            return false;
+        };
+        response
+            .text()
+            .await
+            .is_ok_and(|text| text == "{\"waiting\":2}")
+    })
+    .await;
+}
--- /dev/null
+++ b/crates/control/tests/support/mod.rs
@@ -0,0 +1,206 @@
+//! A site of stand-ins with nodes that can be killed.
+
+#![allow(dead_code)]
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use control::{Log, Settings};
+use platform_standin::{Audit, StoreStandIn, WorkerStandIn};
+use reqwest::{Client, Response};
+use serde_json::{Value, json};
+use tokio::sync::oneshot;
+
+/// Time between two looks at something that is waited for.
+const POLL: Duration = Duration::from_millis(20);
+
+/// Looks after which something that is waited for counts as missing.
+const MOST_POLLS: u32 = 3_000;
+
+/// The key that the configuration allows.
+pub const KEY: &str = "desk-key";
+
+/// A node on a thread and a runtime of its own; killing it ends everything that it does.
+pub struct TestNode {
+    pub address: SocketAddr,
+    readiness: SocketAddr,
+    kill: Option<oneshot::Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl TestNode {
+    /// Ends the node without a word.
+    pub fn kill(&mut self) {
+        if let Some(kill) = self.kill.take() {
+            // The node may have ended by itself.
+            let _ = kill.send(());
+        }
+        if let Some(thread) = self.thread.take() {
+            thread.join().unwrap();
+        }
+    }
+}
+
+impl Drop for TestNode {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// A site.
+pub struct Site {
+    pub store: StoreStandIn,
+    pub workers: Vec<WorkerStandIn>,
+    pub audit: Audit,
+    pub nodes: Vec<TestNode>,
+    pub client: Client,
+}
+
+fn free_address() -> SocketAddr {
+    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
+        .unwrap()
+        .local_addr()
+        .unwrap()
+}
+
+/// The declared configuration.
+pub fn configuration(version: u64, keys: &[&str]) -> String {
+    json!({
+        "version": version,
+        "routes": [{"name": "queue", "host": "desk.example", "prefix": "/q/", "service": "engine", "priority": 0,
+                    "attempts": 2, "stretch": 1.5, "target_latency_ms": 400, "public": false}],
+        "services": [{"name": "engine"}],
+        "limits": {"max_body_bytes": 4096},
+        "tenants": [{"name": "desk", "api_keys": keys, "guaranteed": {"gpu": 8}}],
+    })
+    .to_string()
+}
+
+impl Site {
+    /// A site whose tasks take `run_for`, with one node.
+    pub async fn start(workers: usize, run_for: Duration) -> Site {
+        let store = StoreStandIn::start().await.unwrap();
+        let audit = Audit::default();
+        let mut site = Site {
+            store,
+            workers: Vec::new(),
+            audit,
+            nodes: Vec::new(),
+            client: Client::new(),
+        };
+        for number in 0..workers {
+            let worker = WorkerStandIn::start(&format!("i-{number}"), run_for, site.audit.clone())
+                .await
+                .unwrap();
+            let (key, entry) = worker.entry();
+            site.store.write(&key, &entry);
+            site.workers.push(worker);
+        }
+        site.store.write("op/config", &configuration(1, &[KEY]));
+        site.add_node().await;
+        site
+    }
+
+    /// Starts another node, and waits until it is ready.
+    pub async fn add_node(&mut self) -> usize {
+        let (callers, readiness, metrics) = (free_address(), free_address(), free_address());
+        let name = format!("node-{}", self.nodes.len());
+        let text = json!({
+            "node": {"name": name, "data_centre": "gyor", "region": "dunantul"},
+            "listen": {"callers": callers, "readiness": readiness, "metrics": metrics},
+            "store": {"address": self.store.address(), "shortest_lease_ms": 100},
+            "orders": "rpc",
+        });
+        let settings = Settings::parse("test", &text.to_string()).unwrap();
+        let (kill, killed) = oneshot::channel();
+        let thread = std::thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .build()
+                .unwrap();
+            runtime.block_on(async {
+                tokio::select! {
+                    result = control::serve(settings, Log::silent(&name)) => result.unwrap(),
+                    _ = killed => {}
+                }
+            });
+            runtime.shutdown_background();
+        });
+        self.nodes.push(TestNode {
+            address: callers,
+            readiness,
+            kill: Some(kill),
+            thread: Some(thread),
+        });
+        let at = self.nodes.len() - 1;
+        self.wait("the node is ready", async |site| site.is_ready(at).await)
+            .await;
+        at
+    }
+
+    /// Whether a node says that it is ready.
+    pub async fn is_ready(&self, at: usize) -> bool {
+        let url = format!("http://{}/readyz", self.nodes[at].readiness);
+        self.client
+            .get(url)
+            .send()
+            .await
+            .is_ok_and(|response| response.status() == 200)
+    }
+
+    /// Waits until something holds.
+    pub async fn wait(&self, what: &str, holds: impl AsyncFn(&Site) -> bool) {
+        for _ in 0..MOST_POLLS {
+            if holds(self).await {
+                return;
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        panic!("never seen: {what}");
+    }
+
+    /// Makes a caller's call.
+    pub async fn call(
+        &self,
+        at: usize,
+        method: &str,
+        path: &str,
+        key: &str,
+        body: String,
+    ) -> Option<Response> {
+        let url = format!("http://{}{path}", self.nodes[at].address);
+        let request = match method {
+            "POST" => self.client.post(url).body(body),
+            "DELETE" => self.client.delete(url),
+            _ => self.client.get(url),
+        };
+        let request = request
+            .header("host", "desk.example")
+            .header("hemlockloft-credential", key);
+        request.send().await.ok()
+    }
+
+    /// Hands in a job of `count` tasks; returns the status.
+    pub async fn submit(&self, at: usize, id: u64, count: u32) -> u16 {
+        let step =
+            json!({"count": count, "cpu": 1000, "mem_mb": 100, "gpu": 1, "estimate_ms": 100});
+        let body = json!({"spec": "text", "steps": [step]}).to_string();
+        let response = self
+            .call(at, "POST", &format!("/q/{id:016x}"), KEY, body)
+            .await;
+        response.map_or(0, |response| response.status().as_u16())
+    }
+
+    /// A job's state as a node tells it; empty if it does not.
+    pub async fn state(&self, at: usize, id: u64) -> String {
+        let Some(response) = self
+            .call(at, "GET", &format!("/q/{id:016x}"), KEY, String::new())
+            .await
+        else {
+            return String::new();
+        };
+        let body: Value = response.json().await.unwrap_or(Value::Null);
+        body["state"].as_str().unwrap_or_default().to_string()
+    }
+}
