--- a/crates/control/src/flush.rs
+++ b/crates/control/src/flush.rs
@@ -164,7 +164,10 @@
                             return Ok(());
                         }
                         (true, None) => return Err("another write came between".to_string()),
-                        (false, _) => return Err("another node has the lead".to_string()),
+                        (false, _) if items.iter().any(|i| i.key == keys::LEAD) => {
+                            return Err("another node has the lead".to_string());
+                        }
+                        (false, _) => return Err("the lead's key is gone".to_string()),
                     }
                 }
                 Err(CallError::NotDone(_)) => node.metrics.count(Counter::StoreRetriesNotDone),
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -65,6 +65,8 @@
     pub configuration_changed: Notify,
     pub log: Log,
     pub metrics: Metrics,
+    /// Whether the store answered the last call about the configuration.
+    pub store_reached: AtomicBool,
     /// Whether a planned stop is under way.
     pub stopping: AtomicBool,
     /// Requests that are being answered.
@@ -121,6 +123,7 @@
         contact: Contact::default(),
         configuration_changed: Notify::new(),
         metrics: Metrics::new()?,
+        store_reached: AtomicBool::new(false),
         stopping: AtomicBool::new(false),
         active: AtomicUsize::new(0),
         lead_lease: Mutex::new(None),
--- a/crates/control/tests/calls.rs
+++ b/crates/control/tests/calls.rs
@@ -4,9 +4,10 @@
 
 use std::time::Duration;
 
+use platform_standin::configuration;
 use rstest::rstest;
 use serde_json::Value;
-use support::{KEY, Site, configuration};
+use support::{KEY, Site};
 
 const LONG: Duration = Duration::from_secs(3_600);
 
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -64,19 +64,6 @@
         .unwrap()
 }
 
-/// The declared configuration.
-pub fn configuration(version: u64, keys: &[&str]) -> String {
-    json!({
-        "version": version,
-        "routes": [{"name": "queue", "host": "desk.example", "prefix": "/q/", "service": "engine", "priority": 0,
-                    "attempts": 2, "stretch": 1.5, "target_latency_ms": 400, "public": false}],
-        "services": [{"name": "engine"}],
-        "limits": {"max_body_bytes": 4096},
-        "tenants": [{"name": "desk", "api_keys": keys, "guaranteed": {"gpu": 8}}],
-    })
-    .to_string()
-}
-
 impl Site {
     /// A site whose tasks take `run_for`, with one node.
     pub async fn start(workers: usize, run_for: Duration) -> Site {
@@ -97,7 +84,8 @@
             site.store.write(&key, &entry);
             site.workers.push(worker);
         }
-        site.store.write("op/config", &configuration(1, &[KEY]));
+        site.store
+            .write("op/config", &platform_standin::configuration(1, &[KEY]));
         site.add_node().await;
         site
     }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -14,6 +14,7 @@
 mod job;
 mod load;
 mod orders;
+mod outcomes;
 mod pace;
 mod planner;
 mod preempt;
