Make the test of bodies held together independent of the machine's speed

Beside six busy processes, 60 uploads took longer than the 4 s for which each body was held, and all were answered. The bodies are now held until ten calls have been refused; 50 MB at one time is still what is checked.

--- a/crates/hemlockd/tests/refusals.rs
+++ b/crates/hemlockd/tests/refusals.rs
@@ -166,21 +166,16 @@
     let mut calls = tokio::task::JoinSet::new();
     for _ in 0..60 {
         let request = site.request(0, "rota-rebuild");
-        let body = json!({ "run_ms": 4_000, "padding": "x".repeat(999_000) });
+        let body = json!({ "run_ms": 600_000, "padding": "x".repeat(999_000) });
         calls.spawn(request.body(body.to_string()).send());
     }
-    let mut answered = 0;
-    while let Some(call) = calls.join_next().await {
-        let reply = call.unwrap().unwrap();
-        if reply.status() == 200 {
-            answered += 1;
-        } else {
-            let outcome = outcome_of(reply).await;
-            assert_eq!(
-                outcome,
-                (503, "refused".to_owned(), "queue_full".to_owned())
-            );
-        }
+    // The bodies that are held stay so until all calls were made: none is answered before 10 of 60 are refused.
+    for _ in 0..10 {
+        let reply = calls.join_next().await.unwrap().unwrap().unwrap();
+        let outcome = outcome_of(reply).await;
+        assert_eq!(
+            outcome,
+            (503, "refused".to_owned(), "queue_full".to_owned())
+        );
     }
-    assert!((1..=50).contains(&answered), "{answered} answered");
 }
