--- a/crates/control/src/contact.rs
+++ b/crates/control/src/contact.rs
@@ -60,6 +60,17 @@
         state.in_force.clone()
     }
 
+    /// The version in force, 0 for none, and when the last call was sent that confirmed it.
+    pub fn version(&self) -> (u64, u64) {
+        self.state.lock().map_or((0, 0), |state| {
+            let version = state
+                .in_force
+                .as_ref()
+                .map_or(0, |now| now.configuration.version);
+            (version, state.confirmed_ms)
+        })
+    }
+
     /// The configuration, however old.
     pub fn latest(&self) -> Option<InForce> {
         self.state.lock().ok()?.in_force.clone()
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -202,7 +202,13 @@
         node.metrics.count(counter);
     }
     let reason: &str = counter.map_or("", Into::into);
+    let (version, confirmed_ms) = node.contact.version();
     let fields = [
+        ("configuration", Value::from(version)),
+        (
+            "confirmed_ms_ago",
+            Value::from(now_ms().saturating_sub(confirmed_ms)),
+        ),
         ("method", Value::from(method.as_str())),
         ("path", Value::from(call.path.as_str())),
         ("reason", Value::from(reason)),
