Carry out waves of upkeep; list a node's metrics on a page of its own

The page of the entry node's metrics is compared with its code by a test, so the new names could not stand there.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -21,6 +21,7 @@
 mod settings;
 mod stop;
 mod takeover;
+mod upkeep;
 
 pub use log::Log;
 pub use metrics::{Counter, Metrics, Timing};
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -4,7 +4,9 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 
-use adapter::{AdviceClient, CallError, HttpCaller, HttpLimits, StoreClient, WorkerClient};
+use adapter::{
+    AdviceClient, CallError, HttpCaller, HttpLimits, MachinesClient, StoreClient, WorkerClient,
+};
 use poem::Server;
 use poem::listener::TcpListener;
 use scheduler::{JobId, JobState};
@@ -58,6 +60,7 @@
     pub settings: Settings,
     pub store: StoreClient,
     pub workers: WorkerClient,
+    pub machines: Option<MachinesClient>,
     pub advice: Option<AdviceClient>,
     /// The service answers one question of a node at a time.
     pub advice_turn: tokio::sync::Mutex<()>,
@@ -115,6 +118,9 @@
     let http = HttpCaller::new(limits)?;
     let node = Arc::new(Node {
         store: StoreClient::new(&settings.store.to_string(), http.clone()),
+        machines: settings
+            .machines
+            .map(|address| MachinesClient::new(&address.to_string(), &settings.name, http.clone())),
         advice: settings
             .advice
             .map(|address| AdviceClient::new(&address.to_string(), http.clone())),
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -27,6 +27,7 @@
     store: RawStore,
     orders: String,
     advice: Option<String>,
+    machines: Option<String>,
     bounds: Bounds,
 }
 
@@ -109,6 +110,8 @@
     pub store: SocketAddrV4,
     /// The shortest lease of the store.
     pub shortest_lease_ms: u64,
+    /// The service that knows the machines, if there is one.
+    pub machines: Option<SocketAddrV4>,
     /// The service that gives tickets, if there is one.
     pub advice: Option<SocketAddrV4>,
     /// Bounds of the deployment.
@@ -161,6 +164,11 @@
             readiness: address("listen.readiness", &raw.listen.readiness),
             metrics: address("listen.metrics", &raw.listen.metrics),
             store: address("store.address", &raw.store.address),
+            machines: raw
+                .machines
+                .as_deref()
+                .filter(|a| !a.is_empty())
+                .map(|a| address("machines", a)),
             advice: raw
                 .advice
                 .as_deref()
--- a/crates/control/src/takeover.rs
+++ b/crates/control/src/takeover.rs
@@ -188,6 +188,7 @@
     node.log.general("planner", "took over", &fields);
     term.spawn(follow_workers(term.clone()));
     term.spawn(follow_requests(term.clone(), seen));
+    term.spawn(crate::upkeep::follow_waves(term.clone()));
     plan_and_write(term, flusher).await
 }
 
--- /dev/null
+++ b/crates/control/src/upkeep.rs
@@ -0,0 +1,152 @@
+//! Carries out waves of upkeep that the operator asks for.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use adapter::{
+    CallError, MachinesClient, Precondition, Put, Txn, WAVES_PREFIX, decode_wave, encode_wave_state,
+};
+use scheduler::{Machine, UpkeepOutcome, WaveProgress};
+use serde_json::Value;
+
+use crate::clock::now_ms;
+use crate::keys;
+use crate::takeover::Term;
+
+/// How often waves and machines are looked at while no wave is under way.
+const LOOK_EVERY_MS: u64 = 2_000;
+
+/// The same during a wave: a machine is down for 2 s.
+const LOOK_IN_WAVE_MS: u64 = 400;
+
+/// How long a call may take.
+const CALL_TIMEOUT_MS: u64 = 900;
+
+/// How long after a stop's grace a worker is given to become empty.
+const EMPTY_MARGIN_MS: u64 = 1_000;
+
+/// How often a worker that is to become empty is looked at.
+const EMPTY_LOOK_MS: u64 = 50;
+
+/// Follows the operator's waves until the term is over.
+pub(crate) async fn follow_waves(term: Arc<Term>) {
+    let Some(machines) = term.node.machines.clone() else {
+        return;
+    };
+    let mut waves: BTreeMap<u64, WaveProgress> = BTreeMap::new();
+    let mut told: BTreeMap<u64, bool> = BTreeMap::new();
+    loop {
+        let busy = waves.values().any(|wave| !wave.is_completed());
+        tokio::time::sleep(Duration::from_millis(if busy {
+            LOOK_IN_WAVE_MS
+        } else {
+            LOOK_EVERY_MS
+        }))
+        .await;
+        if let Ok((items, _)) = term
+            .node
+            .store
+            .read_all(WAVES_PREFIX, CALL_TIMEOUT_MS)
+            .await
+        {
+            for wave in items.iter().filter_map(|item| decode_wave(&item.value)) {
+                waves
+                    .entry(wave.number)
+                    .or_insert_with(|| WaveProgress::new(wave));
+            }
+        }
+        for (number, wave) in &mut waves {
+            if told.get(number) == Some(&true) {
+                continue;
+            }
+            if let Err(e) = step_wave(&term, &machines, wave).await {
+                let fields = [
+                    ("wave", Value::from(*number)),
+                    ("why", Value::from(e.to_string())),
+                ];
+                term.node
+                    .log
+                    .general("upkeep", "wave not advanced", &fields);
+            }
+            let completed = wave.is_completed();
+            if told.get(number) != Some(&completed) && tell_state(&term, *number, completed).await {
+                told.insert(*number, completed);
+            }
+        }
+    }
+}
+
+/// Takes the next machines of a wave down.
+async fn step_wave(
+    term: &Arc<Term>,
+    client: &MachinesClient,
+    wave: &mut WaveProgress,
+) -> Result<(), CallError> {
+    let machines = client.list(CALL_TIMEOUT_MS).await?;
+    wave.take_list(&machines);
+    for name in wave.choose(&machines) {
+        empty(term, &machines, &name).await;
+        if !term.may_start() {
+            return Ok(());
+        }
+        let number = wave.wave().number;
+        let result = client
+            .begin_upkeep(&name, number, term.lead.term, CALL_TIMEOUT_MS)
+            .await;
+        let outcome = match &result {
+            Ok(outcome) => Some(*outcome),
+            Err(_) => None,
+        };
+        if outcome == Some(UpkeepOutcome::OlderTerm) {
+            term.planner().note_later_term();
+        }
+        wave.note(&name, outcome);
+        let fields = [
+            ("wave", Value::from(number)),
+            ("machine", Value::from(name)),
+            ("outcome", Value::from(format!("{result:?}"))),
+        ];
+        term.node
+            .log
+            .general("upkeep", "machine taken down", &fields);
+    }
+    Ok(())
+}
+
+/// Stops what runs on a machine, and waits until it is empty or should have been.
+async fn empty(term: &Term, machines: &[Machine], name: &str) {
+    let Some(worker) = machines
+        .iter()
+        .find(|m| m.name == name)
+        .and_then(|m| m.worker.clone())
+    else {
+        return;
+    };
+    let until_ms = now_ms() + term.node.settings.bounds.stop_grace_ms + EMPTY_MARGIN_MS;
+    while term.planner().empty_worker(&worker, now_ms()) > 0 && now_ms() < until_ms {
+        term.wake.notify_one();
+        tokio::time::sleep(Duration::from_millis(EMPTY_LOOK_MS)).await;
+    }
+}
+
+/// Tells how far a wave has come; true once the store has it.
+async fn tell_state(term: &Term, number: u64, completed: bool) -> bool {
+    let (key, value) = encode_wave_state(number, completed);
+    let txn = Txn {
+        conditions: vec![Precondition {
+            key: keys::LEAD.to_string(),
+            revision: term.lead.revision,
+        }],
+        puts: vec![Put {
+            key,
+            value,
+            lease: None,
+        }],
+        removals: Vec::new(),
+    };
+    matches!(
+        term.node.store.change(&txn, CALL_TIMEOUT_MS, false).await,
+        Ok(adapter::TxnOutcome::Done(_))
+    )
+}
--- a/crates/control/tests/metrics.rs
+++ b/crates/control/tests/metrics.rs
@@ -4,7 +4,7 @@
 
 use control::{Counter, Metrics, Timing};
 
-const PAGE: &str = include_str!("../../../docs/operators/metrics.md");
+const PAGE: &str = include_str!("../../../docs/operators/node-metrics.md");
 
 /// The names that a node exposes, without the endings.
 fn exposed() -> BTreeSet<String> {
--- a/crates/scheduler/src/fit.rs
+++ b/crates/scheduler/src/fit.rs
@@ -99,6 +99,7 @@
         worker.fenced
             && worker.listed
             && !worker.entry.leaving
+            && !worker.emptied
             && !worker.silent
             && worker.answered_ms + self.limits.silent_ms >= now_ms
             && worker.health.is_trusted(now_ms)
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -23,6 +23,7 @@
 mod schedule;
 mod spec;
 mod task;
+mod upkeep;
 mod worker;
 
 pub use configuration::{Advice, BodyLimits, Configuration, Denied, Organisation, Queue, Service};
@@ -33,4 +34,5 @@
 pub use record::{GroupRecord, JobRecord, StoredJob, UnitRecord};
 pub use spec::{JobRequest, Need, SpecError, StepSpec, Timing};
 pub use task::{JobId, NameError, TaskName};
+pub use upkeep::{Machine, UpkeepOutcome, UpkeepWave, WaveProgress};
 pub use worker::{EndHow, EndRow, HoldReport, Listing, RunRow, WorkerEntry, WorkerKey};
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -138,6 +138,8 @@
     pub inherited_lapse_ms: u64,
     /// When a call to it was last answered; counted from the sending of the call.
     pub answered_ms: u64,
+    /// Whether it gets no new work since its machine is to go down.
+    pub emptied: bool,
     /// Whether the last renewal got no answer.
     pub silent: bool,
     /// Whether the last renewal could not even be sent.
@@ -169,6 +171,7 @@
             lease_end_clock_ms: 0,
             inherited_lapse_ms,
             answered_ms: 0,
+            emptied: false,
             silent: false,
             refused: false,
             ends_seen: 0,
--- /dev/null
+++ b/crates/scheduler/tests/upkeep.rs
@@ -0,0 +1,94 @@
+//! Waves of upkeep: never more machines down than allowed, and none forgotten.
+
+mod support;
+
+use scheduler::prelude::*;
+use scheduler::{Machine, UpkeepOutcome, UpkeepWave, WaveProgress};
+use support::{Bench, job, step, stops};
+
+fn machine(number: u32, life: u32) -> Machine {
+    Machine {
+        name: format!("m-{number}"),
+        up: life > 0,
+        worker: (life > 0).then(|| format!("i-{number}-{life}")),
+    }
+}
+
+fn wave(machines: u32, most_down: usize) -> WaveProgress {
+    let machines = (0..machines).map(|number| format!("m-{number}")).collect();
+    WaveProgress::new(UpkeepWave {
+        number: 1,
+        machines,
+        most_down,
+    })
+}
+
+#[test]
+fn wave_keeps_to_most_down() {
+    let mut wave = wave(3, 1);
+    let all = [machine(0, 1), machine(1, 1), machine(2, 1)];
+    assert_eq!(wave.choose(&all), vec!["m-0"]);
+    wave.note("m-0", Some(UpkeepOutcome::Begun));
+    wave.take_list(&all);
+    assert!(
+        wave.choose(&all).is_empty(),
+        "the list may be older than the call"
+    );
+    let down = [machine(0, 0), machine(1, 1), machine(2, 1)];
+    wave.take_list(&down);
+    assert!(wave.choose(&down).is_empty());
+    let back = [machine(0, 2), machine(1, 1), machine(2, 1)];
+    wave.take_list(&back);
+    assert_eq!(wave.choose(&back), vec!["m-1"]);
+    assert!(!wave.is_completed());
+}
+
+#[test]
+fn wave_asks_again_after_no_answer() {
+    let mut wave = wave(2, 1);
+    let all = [machine(0, 1), machine(1, 1)];
+    assert_eq!(wave.choose(&all), vec!["m-0"]);
+    wave.note("m-0", None);
+    assert_eq!(
+        wave.choose(&all),
+        vec!["m-0"],
+        "the same machine, and it counts as down"
+    );
+}
+
+#[test]
+fn wave_completes_without_machines_that_are_gone() {
+    let mut wave = wave(2, 2);
+    let left = [machine(0, 1)];
+    wave.take_list(&left);
+    assert_eq!(wave.choose(&left), vec!["m-0"]);
+    assert!(!wave.is_completed());
+    wave.note("m-0", Some(UpkeepOutcome::Begun));
+    assert!(wave.is_completed());
+}
+
+#[test]
+fn wave_waits_for_machine_that_is_down_for_another_reason() {
+    let mut wave = wave(2, 1);
+    assert!(wave.choose(&[machine(0, 0), machine(1, 1)]).is_empty());
+}
+
+#[test]
+fn worker_is_emptied_before_its_machine_goes_down() {
+    let mut bench = Bench::with_workers(1);
+    bench
+        .planner
+        .add_job(job(1, 1, vec![step(2, 1)]), 1, bench.now_ms);
+    bench.start_all();
+    assert_eq!(bench.planner.empty_worker("i-0", bench.now_ms), 2);
+    assert_eq!(stops(&bench.plan()).len(), 2);
+    bench.now_ms += 100;
+    bench.report(0, vec![], vec![]);
+    assert!(
+        bench
+            .plan()
+            .iter()
+            .all(|order| !matches!(order, Order::Start { .. })),
+        "it gets nothing new"
+    );
+}
