--- a/crates/control/src/configuration.rs
+++ b/crates/control/src/configuration.rs
@@ -11,7 +11,7 @@
 use crate::node::Node;
 
 /// How long one watch waits: each that ends confirms the configuration, so this bounds how old that can be.
-const WATCH_WAIT_MS: u64 = 600;
+const WATCH_WAIT_MS: u64 = 1_000;
 
 /// How long a call may take beyond its waiting.
 const CALL_TIMEOUT_MS: u64 = 800;
--- a/crates/control/src/listing.rs
+++ b/crates/control/src/listing.rs
@@ -13,7 +13,7 @@
 use crate::takeover::Term;
 
 /// How often the list is read: often enough that a leaving worker gets nothing new within a second.
-const READ_EVERY_MS: u64 = 600;
+const READ_EVERY_MS: u64 = 800;
 
 /// How long reading one page may take.
 const CALL_TIMEOUT_MS: u64 = 900;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -35,7 +35,7 @@
 
 /// A node whose configuration was confirmed longer ago than this has lost contact: a confirmation is at most twice a
 /// watch's wait old, and a store that is 80 times slower than usual adds two thirds of a second.
-const OUT_OF_CONTACT_MS: u64 = 2_000;
+const OUT_OF_CONTACT_MS: u64 = 2_700;
 
 /// Final states that a node remembers at most.
 const MOST_FINAL_STATES: usize = 8_192;
