--- a/crates/control/src/flush.rs
+++ b/crates/control/src/flush.rs
@@ -9,7 +9,7 @@
 use crate::clock::{now_ms, unix_ms};
 use crate::keys;
 use crate::metrics::{Counter, Timing};
-use crate::takeover::Term;
+use crate::term::Term;
 
 /// How long a write may take before it is made again on a new connection.
 const CALL_TIMEOUT_MS: u64 = 900;
--- /dev/null
+++ b/crates/control/src/follow.rs
@@ -0,0 +1,90 @@
+//! Follows jobs and cancels as nodes store them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use adapter::{CallError, Event, Item, WatchOutcome};
+use scheduler::StoredJob;
+
+use crate::clock::now_ms;
+use crate::keys;
+use crate::metrics::Counter;
+use crate::takeover::note_unreadable;
+use crate::term::Term;
+
+/// How long one watch of the requests waits: with the time-out below it bounds how late a cancel is noticed when the
+/// connection has gone silent.
+const WATCH_WAIT_MS: u64 = 1_000;
+
+/// How long a call may take beyond its waiting.
+const CALL_TIMEOUT_MS: u64 = 900;
+
+/// The pause after a call that failed.
+const RETRY_PAUSE_MS: u64 = 60;
+
+/// Follows jobs and cancels as they are stored.
+pub(crate) async fn follow_requests(term: Arc<Term>, seen: u64) {
+    let node = term.node.clone();
+    let mut after = seen;
+    loop {
+        node.metrics.count(Counter::StoreCalls);
+        let timeout_ms = WATCH_WAIT_MS + CALL_TIMEOUT_MS;
+        match node
+            .store
+            .watch(keys::REQUESTS_PREFIX, after, WATCH_WAIT_MS, timeout_ms)
+            .await
+        {
+            Ok(WatchOutcome::Events(events, _)) => {
+                for event in events {
+                    after = after.max(take_event(&term, event));
+                }
+            }
+            // A watch that was cut may have missed something, like one whose history is gone.
+            Ok(WatchOutcome::Compacted) | Err(_) => match reread_requests(&term).await {
+                Ok(revision) => after = revision,
+                Err(_) => tokio::time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await,
+            },
+        }
+        term.wake.notify_one();
+    }
+}
+
+/// Takes in one change; returns its revision.
+fn take_event(term: &Term, event: Event) -> u64 {
+    match event {
+        Event::Written(item) => take_request(term, &item),
+        Event::Removed(_, revision) => revision,
+    }
+}
+
+fn take_request(term: &Term, item: &Item) -> u64 {
+    if let Some(id) = item
+        .key
+        .strip_prefix(keys::CANCELS_PREFIX)
+        .and_then(|id| id.parse().ok())
+    {
+        term.planner().cancel_job(id, now_ms());
+    } else {
+        match serde_json::from_slice::<StoredJob>(&item.value) {
+            Ok(stored) => term.planner().add_job(stored, item.created, now_ms()),
+            Err(e) => note_unreadable(&term.node, item, &e.to_string()),
+        }
+    }
+    item.revision
+}
+
+/// Reads all jobs and cancels anew.
+async fn reread_requests(term: &Term) -> Result<u64, CallError> {
+    let (items, revision) = term
+        .node
+        .store
+        .read_all(keys::REQUESTS_PREFIX, CALL_TIMEOUT_MS)
+        .await?;
+    let (cancels, jobs): (Vec<&Item>, Vec<&Item>) = items
+        .iter()
+        .partition(|item| item.key.starts_with(keys::CANCELS_PREFIX));
+    for item in jobs.into_iter().chain(cancels) {
+        take_request(term, item);
+    }
+    Ok(revision)
+}
--- a/crates/control/src/holds.rs
+++ b/crates/control/src/holds.rs
@@ -8,7 +8,7 @@
 
 use crate::clock::now_ms;
 use crate::metrics::Counter;
-use crate::takeover::Term;
+use crate::term::Term;
 
 /// How long a renewal waits at the worker for an end; the platform's page allows this much.
 const WAIT_MS: u64 = 2_000;
--- a/crates/control/src/lead.rs
+++ b/crates/control/src/lead.rs
@@ -13,7 +13,7 @@
 use crate::keys;
 use crate::metrics::Counter;
 use crate::node::Node;
-use crate::takeover::run_term;
+use crate::term::run_term;
 
 /// How long the lead lasts without renewal. Nobody plans for that long after a planner is lost, and an urgent job of
 /// 2 s can wait for 1.4 s; a lead lost by mistake costs a take-over of 50 ms.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,6 +7,7 @@
 mod configuration;
 mod contact;
 mod flush;
+mod follow;
 mod holds;
 mod intake;
 mod job_calls;
@@ -21,6 +22,7 @@
 mod settings;
 mod stop;
 mod takeover;
+mod term;
 mod upkeep;
 
 pub use log::Log;
--- a/crates/control/src/listing.rs
+++ b/crates/control/src/listing.rs
@@ -10,7 +10,7 @@
 use crate::holds::hold_worker;
 use crate::metrics::Counter;
 use crate::node::Node;
-use crate::takeover::Term;
+use crate::term::Term;
 
 /// How often the list is read: often enough that a leaving worker gets nothing new within a second.
 const READ_EVERY_MS: u64 = 800;
--- a/crates/control/src/orders.rs
+++ b/crates/control/src/orders.rs
@@ -8,7 +8,7 @@
 
 use crate::clock::now_ms;
 use crate::metrics::{Counter, Timing};
-use crate::takeover::Term;
+use crate::term::Term;
 
 /// The pause before an order is sent again.
 const RETRY_PAUSE_MS: u64 = 120;
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -60,8 +60,6 @@
 pub struct Bounds {
     /// How long a stop takes at most.
     pub stop_grace_ms: u64,
-    /// How long members of a gang wait for each other.
-    pub gang_timeout_ms: u64,
     /// The longest lease that a worker grants.
     pub longest_lease_ms: u64,
     /// How long after its removal a key may still be honoured.
@@ -80,7 +78,6 @@
     fn default() -> Self {
         Bounds {
             stop_grace_ms: 900,
-            gang_timeout_ms: 3_000,
             longest_lease_ms: 10_000,
             revoke_ms: 5_000,
             reclaim_ms: 2_900,
--- a/crates/control/src/upkeep.rs
+++ b/crates/control/src/upkeep.rs
@@ -12,7 +12,7 @@
 
 use crate::clock::now_ms;
 use crate::keys;
-use crate::takeover::Term;
+use crate::term::Term;
 
 /// How often waves and machines are looked at while no wave is under way.
 const LOOK_EVERY_MS: u64 = 2_000;
--- a/crates/scheduler/src/load.rs
+++ b/crates/scheduler/src/load.rs
@@ -28,8 +28,7 @@
         let job = &mut self.jobs[key];
         job.ended_unix_ms = record.ended_unix_ms;
         job.state = record.state;
-        let unfinished = record.state.is_final();
-        if unfinished {
+        if record.state.is_final() {
             self.finish_ended_job(key, now_ms);
         }
     }
--- a/crates/scheduler/src/planner.rs
+++ b/crates/scheduler/src/planner.rs
@@ -21,8 +21,6 @@
     pub predecessor_holds_ms: u64,
     /// How long a stop takes at most.
     pub stop_grace_ms: u64,
-    /// How long members of a gang wait for each other.
-    pub gang_timeout_ms: u64,
     /// How long after its acceptance a guaranteed job must have begun.
     pub reclaim_ms: u64,
     /// A worker that was not heard of for this long gets no new work.
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -11,7 +11,6 @@
         lease_ms: 9_500,
         predecessor_holds_ms: 14_500,
         stop_grace_ms: 400,
-        gang_timeout_ms: 3_000,
         reclaim_ms: 2_900,
         silent_ms: 2_900,
         remote_slowdown: 3,
