--- a/crates/control/src/follow.rs
+++ b/crates/control/src/follow.rs
@@ -22,6 +22,12 @@
 /// The pause after a call that failed.
 const RETRY_PAUSE_MS: u64 = 60;
 
+/// A cancelled job's tasks must not start later than this after the cancel, on any deployment at hand.
+const NOTICE_CANCEL_MS: u64 = 3_000;
+
+// A watch on a connection that has gone silent ends in time to read the cancels anew.
+const _: () = assert!(WATCH_WAIT_MS + CALL_TIMEOUT_MS < NOTICE_CANCEL_MS);
+
 /// Follows jobs and cancels as they are stored.
 pub(crate) async fn follow_requests(term: Arc<Term>, seen: u64) {
     let node = term.node.clone();
