Do not take a job in again that is over

Ruled out: the hand-over (one term throughout), the caller's repeat (the record is a condition of accepting). The planner now remembers for a minute which jobs it let go. Test job_over_is_not_taken_in_from_older_read failed before.

--- a/crates/control/src/term.rs
+++ b/crates/control/src/term.rs
@@ -215,7 +215,7 @@
         if let Err(why) = flusher.write(term, &flush).await {
             return why;
         }
-        term.planner().complete_flush(flush);
+        term.planner().complete_flush(flush, now_ms());
         dispatch_orders(term);
         term.stored.notify_waiters();
     }
--- a/crates/scheduler/src/events.rs
+++ b/crates/scheduler/src/events.rs
@@ -18,7 +18,7 @@
     /// A job was accepted; `order` rises with the order of acceptance.
     pub fn add_job(&mut self, stored: StoredJob, order: u64, now_ms: u64) {
         let id = stored.id;
-        if self.by_job.contains_key(&id) {
+        if self.by_job.contains_key(&id) || self.was_let_go(id, now_ms) {
             return;
         }
         let key = self.jobs.insert(Job::new(stored, order, now_ms));
--- a/crates/scheduler/src/planner.rs
+++ b/crates/scheduler/src/planner.rs
@@ -1,6 +1,6 @@
 //! The planner's state, and the small steps that all its parts use.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 
 use slotmap::SlotMap;
 
@@ -12,6 +12,10 @@
 use crate::task::JobId;
 use crate::worker::{Worker, WorkerKey};
 
+/// A job that is over is known as such for this long. A read of all requests may still name it for as long as that read
+/// takes: a second for each page, of which there are few.
+const REMEMBER_LET_GO_MS: u64 = 60_000;
+
 /// Bounds that the planner keeps, from the settings.
 #[derive(Debug, Clone, Copy)]
 pub struct Limits {
@@ -81,6 +85,8 @@
     /// Whether something changed since the last planning.
     pub(crate) changed: bool,
     pub(crate) inherited_lapse_ms: u64,
+    /// Jobs that are over and were let go, the oldest first, with the time.
+    pub(crate) let_go: VecDeque<(JobId, u64)>,
     /// Hand-in to first start, in milliseconds, since the last look.
     pub(crate) first_start_ms: Vec<u64>,
 }
@@ -103,6 +109,7 @@
             deposed: false,
             changed: true,
             inherited_lapse_ms: now_ms + limits.predecessor_holds_ms + limits.lease_ms * 100 / 98,
+            let_go: VecDeque::new(),
             first_start_ms: Vec::new(),
         }
     }
@@ -192,7 +199,7 @@
     }
 
     /// The records of a flush are in the store: what waited for them goes out.
-    pub fn complete_flush(&mut self, flush: Flush) {
+    pub fn complete_flush(&mut self, flush: Flush, now_ms: u64) {
         for write in &flush.writes {
             let Some(&key) = self.by_job.get(&write.job) else {
                 continue;
@@ -204,6 +211,7 @@
             if drop {
                 self.jobs.remove(key);
                 self.by_job.remove(&write.job);
+                self.let_go.push_back((write.job, now_ms));
             }
         }
         for (unit, run) in flush.starts {
@@ -216,6 +224,18 @@
         }
     }
 
+    /// Whether a job was over already, however late a read names it.
+    pub(crate) fn was_let_go(&mut self, id: JobId, now_ms: u64) -> bool {
+        while self
+            .let_go
+            .front()
+            .is_some_and(|(_, at_ms)| at_ms + REMEMBER_LET_GO_MS < now_ms)
+        {
+            self.let_go.pop_front();
+        }
+        self.let_go.iter().any(|(gone, _)| *gone == id)
+    }
+
     /// Sends the start of a run whose assignment is in the store.
     fn send_start(&mut self, key: UnitKey, run: u32) {
         let Some(unit) = self.unit_mut(key) else {
--- a/crates/scheduler/tests/running.rs
+++ b/crates/scheduler/tests/running.rs
@@ -254,7 +254,7 @@
     bench
         .planner
         .cancel_job(format!("{:016x}", 1).parse().unwrap(), bench.now_ms);
-    bench.planner.complete_flush(flush);
+    bench.planner.complete_flush(flush, bench.now_ms);
     assert!(
         bench.take_orders().is_empty(),
         "the store answered after the cancel"
@@ -342,3 +342,17 @@
     bench.report(0, vec![], vec![]);
     assert_eq!(starts(&bench.plan()).len(), 1);
 }
+
+#[test]
+fn job_over_is_not_taken_in_from_older_read() {
+    let mut bench = Bench::with_workers(2);
+    let stored = job(1, 1, vec![step(1, 1)]);
+    bench.planner.add_job(stored.clone(), 1, bench.now_ms);
+    let orders = bench.start_all();
+    end_all(&mut bench, &orders, EndHow::Done, "");
+    assert!(bench.plan().is_empty(), "the job is over and written so");
+    // A read of all requests that was answered before that write arrives after it.
+    bench.now_ms += 300;
+    bench.planner.add_job(stored, 1, bench.now_ms);
+    assert!(starts(&bench.plan()).is_empty(), "it ran already");
+}
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -111,7 +111,7 @@
     /// Plans, stores what was decided, and returns the orders that may be sent then.
     pub fn plan(&mut self) -> Vec<Order> {
         let (orders, flush) = self.plan_without_store();
-        self.planner.complete_flush(flush);
+        self.planner.complete_flush(flush, self.now_ms);
         [orders, self.take_orders()].concat()
     }
 
--- a/crates/scheduler/tests/takeover.rs
+++ b/crates/scheduler/tests/takeover.rs
@@ -169,7 +169,7 @@
     let (orders, flush) = bench.plan_without_store();
     assert!(starts(&orders).is_empty());
     assert_eq!(flush.writes[0].record.state, JobState::Completed);
-    bench.planner.complete_flush(flush);
+    bench.planner.complete_flush(flush, bench.now_ms);
     assert_eq!(bench.planner.confirmed_ends(bench.workers[at]), 7);
 }
 
@@ -197,7 +197,7 @@
         orders.is_empty(),
         "nothing is sent before the choice is stored"
     );
-    bench.planner.complete_flush(flush);
+    bench.planner.complete_flush(flush, bench.now_ms);
     assert_eq!(starts(&bench.take_orders()).len(), 1);
 }
 
