Count work thrown away by its reason

Cause: the price of work thrown away was known only as a sum; its shares were listed as not measured.

--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -55,6 +55,16 @@
     TasksBroken,
     /// Tasks that waited in vain for their gang.
     TasksAlone,
+    /// Core-seconds thrown away with runs that were stopped to make room.
+    WastedPreemptedCoreS,
+    /// The same with runs of cancelled or failed jobs.
+    WastedUnwantedCoreS,
+    /// The same with runs that failed.
+    WastedFailedCoreS,
+    /// The same with runs that broke with their gang.
+    WastedBrokenCoreS,
+    /// The same with runs that were lost with their worker.
+    WastedLostCoreS,
 }
 
 /// What is timed.
--- a/crates/control/src/term.rs
+++ b/crates/control/src/term.rs
@@ -253,4 +253,16 @@
     node.metrics.set(Counter::TasksFailed, counts.failed);
     node.metrics.set(Counter::TasksBroken, counts.broken);
     node.metrics.set(Counter::TasksAlone, counts.alone);
+    for (counter, core_ms) in [
+        (
+            Counter::WastedPreemptedCoreS,
+            counts.wasted_preempted_core_ms,
+        ),
+        (Counter::WastedUnwantedCoreS, counts.wasted_unwanted_core_ms),
+        (Counter::WastedFailedCoreS, counts.wasted_failed_core_ms),
+        (Counter::WastedBrokenCoreS, counts.wasted_broken_core_ms),
+        (Counter::WastedLostCoreS, counts.wasted_lost_core_ms),
+    ] {
+        node.metrics.set(counter, core_ms / 1000);
+    }
 }
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -32,12 +32,16 @@
         }
         let id = self.jobs[key.group.job].stored.id;
         if row.how != EndHow::Done || lapsed_before {
+            let wasted = match row.how {
+                EndHow::Done => 0,
+                how => self.count_waste(key, how, now_ms),
+            };
             self.decide(
                 Some(id),
                 "ended",
                 format!(
-                    "{:?} run {run} how {:?} end {}",
-                    row.task.map(|t| t.to_string()),
+                    "task {} run {run} how {:?} end {}, {wasted} core-ms thrown away",
+                    row.task.map_or_else(String::new, |t| t.to_string()),
                     row.how,
                     row.number
                 ),
@@ -252,6 +256,7 @@
         if !matches!(unit.phase, Phase::Stopping { .. }) {
             self.counts.lost += 1;
         }
+        self.count_waste(key, EndHow::Lapsed, now_ms);
         self.clear(key, Phase::Waiting, now_ms);
         if self.is_gang(key.group) {
             self.dissolve_gang(key.group, now_ms);
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -24,6 +24,7 @@
 mod spec;
 mod task;
 mod upkeep;
+mod waste;
 mod worker;
 
 pub use configuration::{Advice, BodyLimits, Configuration, Denied, Organisation, Queue, Service};
--- a/crates/scheduler/src/planner.rs
+++ b/crates/scheduler/src/planner.rs
@@ -65,6 +65,16 @@
     pub refused: u64,
     /// Calls that got no answer.
     pub unanswered: u64,
+    /// Work thrown away with runs that were stopped to make room, in core-milliseconds.
+    pub wasted_preempted_core_ms: u64,
+    /// The same with runs of cancelled or failed jobs.
+    pub wasted_unwanted_core_ms: u64,
+    /// The same with runs that failed.
+    pub wasted_failed_core_ms: u64,
+    /// The same with runs that broke with their gang, or waited for it in vain.
+    pub wasted_broken_core_ms: u64,
+    /// The same with runs that were lost with their worker's lease or life.
+    pub wasted_lost_core_ms: u64,
 }
 
 /// Decides what runs where. One planner exists for each term of the lead.
--- a/crates/scheduler/src/preempt.rs
+++ b/crates/scheduler/src/preempt.rs
@@ -9,12 +9,6 @@
 use crate::spec::Need;
 use crate::worker::WorkerKey;
 
-/// An accelerator counts as this many cores when lost work is weighed; the platform's prices say so.
-const CORES_PER_ACCELERATOR: i64 = 8;
-
-/// What a task that saves its progress loses at a stop: about half of a saving interval.
-const LOST_WITH_PROGRESS_MS: u64 = 300;
-
 /// Kept free of a group's time for the way of its stops and starts.
 const START_MARGIN_MS: u64 = 250;
 
@@ -206,24 +200,14 @@
 
     /// Core-milliseconds lost if a task is stopped, with its gang.
     fn loss(&self, key: UnitKey, now_ms: u64) -> i64 {
-        let job = &self.jobs[key.group.job];
-        let step = job.step_of(key.group.group as usize);
-        let group = &job.groups[key.group.group as usize];
-        let members = if step.gang {
-            group.units.len() as i64
-        } else {
-            1
-        };
-        let ran_ms = now_ms.saturating_sub(group.units[key.unit as usize].started_ms);
-        let lost_ms = if step.saves_progress {
-            ran_ms.min(LOST_WITH_PROGRESS_MS)
-        } else {
-            ran_ms
+        let members = match self.is_gang(key.group) {
+            true => self.jobs[key.group.job].groups[key.group.group as usize]
+                .units
+                .len() as i64,
+            false => 1,
         };
-        let cores_milli =
-            step.need.cpu_millis + step.need.accelerators * CORES_PER_ACCELERATOR * 1000;
         // The longer of two that lose nothing is stopped last, since it is nearer to its end.
-        (lost_ms as i64) * cores_milli * members / 1000 + 1
+        self.unsaved_work(key, now_ms) * members + 1
     }
 }
 
