Keep room free for urgent groups that are yet to come

Other work now leaves room for as many urgent groups as lately came within 1.6 s, of the 75th percentile's size, until it is pressed itself. Test headroom plays the load; it fails without the room.

--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -10,6 +10,7 @@
 mod events;
 mod fit;
 mod group;
+mod headroom;
 mod health;
 mod job;
 mod load;
--- a/crates/scheduler/src/planner.rs
+++ b/crates/scheduler/src/planner.rs
@@ -6,6 +6,7 @@
 
 use crate::configuration::Configuration;
 use crate::group::{GroupKey, JobKey, Phase, Unit, UnitKey};
+use crate::headroom::UrgentArrivals;
 use crate::job::Job;
 use crate::orders::{Flush, Order, RecordWrite};
 use crate::spec::Need;
@@ -97,6 +98,8 @@
     pub(crate) inherited_lapse_ms: u64,
     /// Jobs that are over and were let go, the oldest first, with the time.
     pub(crate) let_go: VecDeque<(JobId, u64)>,
+    /// Groups of the first priority that came lately.
+    pub(crate) urgent: UrgentArrivals,
     /// Hand-in to first start, in milliseconds, since the last look.
     pub(crate) first_start_ms: Vec<u64>,
 }
@@ -120,6 +123,7 @@
             changed: true,
             inherited_lapse_ms: now_ms + limits.predecessor_holds_ms + limits.lease_ms * 100 / 98,
             let_go: VecDeque::new(),
+            urgent: UrgentArrivals::default(),
             first_start_ms: Vec::new(),
         }
     }
--- a/crates/scheduler/src/schedule.rs
+++ b/crates/scheduler/src/schedule.rs
@@ -1,16 +1,26 @@
 //! One planning pass: whose turn it is, and where each task goes.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 
-use crate::fit::{find_best_spot, find_places, find_places_on_one_rack};
+use crate::fit::{Spot, find_best_spot, find_places, find_places_on_one_rack};
 use crate::group::{GroupKey, JobKey, Phase, UnitKey};
 use crate::job::JobState;
 use crate::planner::Planner;
+use crate::spec::Need;
 use crate::worker::WorkerKey;
 
 /// A job's caller may see a scheduled run begin this much before its time at most; the platform allows 250 ms.
 const EARLY_MS: u64 = 0;
 
+/// What work that is not of the first priority leaves alone in a pass.
+#[derive(Debug, Default)]
+struct Kept {
+    /// Workers kept for groups of the first priority that wait.
+    workers: HashSet<WorkerKey>,
+    /// Room kept on workers for such groups to come; none before all that wait have had their turn.
+    room: Option<HashMap<WorkerKey, Need>>,
+}
+
 impl Planner {
     /// Decides what starts and what stops now. `unix_ms` is the time of day, for scheduled jobs.
     pub fn plan(&mut self, now_ms: u64, unix_ms: u64) {
@@ -18,7 +28,7 @@
         self.expire_leases(now_ms);
         self.stop_left_members(now_ms);
         self.settle_claims(now_ms);
-        let mut kept = HashSet::new();
+        let mut kept = Kept::default();
         for group in self.list_turns(now_ms, unix_ms) {
             if self.jobs[group.job].groups[group.group as usize]
                 .claim
@@ -26,8 +36,11 @@
             {
                 continue;
             }
+            if self.jobs[group.job].stored.priority != 0 {
+                kept.room.get_or_insert_with(|| self.keep_headroom(now_ms));
+            }
             self.place_group(group, &kept, now_ms);
-            kept.extend(self.make_room(group, now_ms));
+            kept.workers.extend(self.make_room(group, now_ms));
             self.ask_advice(group, now_ms);
         }
     }
@@ -35,6 +48,7 @@
     /// Groups with tasks to start, first come first.
     fn list_turns(&mut self, now_ms: u64, unix_ms: u64) -> Vec<GroupKey> {
         let mut turns: Vec<(u32, u64, GroupKey)> = Vec::new();
+        let mut urgent = Vec::new();
         let jobs: Vec<JobKey> = self.jobs.keys().collect();
         for key in jobs {
             let job = &mut self.jobs[key];
@@ -56,7 +70,14 @@
                 {
                     continue;
                 }
+                let first = job.groups[at].ready_ms.is_none();
                 job.groups[at].ready_ms.get_or_insert(now_ms);
+                if first && job.stored.priority == 0 {
+                    urgent.push(GroupKey {
+                        job: key,
+                        group: at as u32,
+                    });
+                }
                 turns.push((
                     job.stored.priority,
                     job.order,
@@ -67,12 +88,34 @@
                 ));
             }
         }
+        for group in urgent {
+            self.note_urgent(group, now_ms);
+        }
         turns.sort_unstable();
         turns.into_iter().map(|(_, _, group)| group).collect()
     }
 
-    /// Starts what fits of a group, without the workers that are kept for groups of the first priority.
-    fn place_group(&mut self, group: GroupKey, kept: &HashSet<WorkerKey>, now_ms: u64) {
+    /// The workers that can take tasks of a group now, without what it has to leave alone.
+    fn spots_left(&self, group: GroupKey, kept: &Kept, now_ms: u64) -> Vec<Spot> {
+        let mut spots = self.spots(group, now_ms);
+        if self.jobs[group.job].stored.priority == 0 {
+            return spots;
+        }
+        spots.retain(|spot| !kept.workers.contains(&spot.worker));
+        if let Some(room) = kept
+            .room
+            .as_ref()
+            .filter(|_| !self.is_pressed(group, now_ms))
+        {
+            for spot in &mut spots {
+                spot.free -= room.get(&spot.worker).copied().unwrap_or_default();
+            }
+        }
+        spots
+    }
+
+    /// Starts what fits of a group, without what is kept for groups of the first priority.
+    fn place_group(&mut self, group: GroupKey, kept: &Kept, now_ms: u64) {
         match self.is_gang(group) {
             true => self.place_gang(group, kept, now_ms),
             false => self.place_each(group, kept, now_ms),
@@ -90,7 +133,7 @@
     }
 
     /// Places a whole gang, or nothing of it.
-    fn place_gang(&mut self, group: GroupKey, kept: &HashSet<WorkerKey>, now_ms: u64) {
+    fn place_gang(&mut self, group: GroupKey, kept: &Kept, now_ms: u64) {
         let job = &self.jobs[group.job];
         let at = &job.groups[group.group as usize];
         let count = at.units.len();
@@ -103,10 +146,7 @@
         }
         let step = job.step_of(group.group as usize);
         let need = self.need(group);
-        let mut spots = self.spots(group, now_ms);
-        if job.stored.priority != 0 {
-            spots.retain(|spot| !kept.contains(&spot.worker));
-        }
+        let mut spots = self.spots_left(group, kept, now_ms);
         let tired = self.is_tired_of_waiting(group, now_ms);
         if let Some(rack) = &step.data_rack
             && !tired
@@ -128,14 +168,11 @@
     }
 
     /// Places each task of a group that fits somewhere.
-    fn place_each(&mut self, group: GroupKey, kept: &HashSet<WorkerKey>, now_ms: u64) {
+    fn place_each(&mut self, group: GroupKey, kept: &Kept, now_ms: u64) {
         let job = &self.jobs[group.job];
         let step = job.step_of(group.group as usize);
         let need = self.need(group);
-        let mut spots = self.spots(group, now_ms);
-        if job.stored.priority != 0 {
-            spots.retain(|spot| !kept.contains(&spot.worker));
-        }
+        let mut spots = self.spots_left(group, kept, now_ms);
         if let Some(rack) = step
             .data_rack
             .as_ref()
--- /dev/null
+++ b/crates/scheduler/tests/headroom.rs
@@ -0,0 +1,214 @@
+//! What callers of urgent work get while other work presses in: a load is played against the planner.
+
+mod support;
+
+use rstest::rstest;
+use scheduler::prelude::*;
+use scheduler::{EndHow, TaskName};
+use support::{Bench, ended, job, running, starts, step, stops, worker_of};
+
+/// How long a task of urgent work runs, and of other work.
+const URGENT_MS: u64 = 2_000;
+const OTHER_MS: u64 = 9_000;
+
+/// A run that a worker has under way.
+struct Run {
+    order: Order,
+    ends_ms: u64,
+}
+
+/// Workers that run what they are told for as long as its kind takes.
+struct Site {
+    bench: Bench,
+    runs: Vec<Run>,
+    ends: Vec<u64>,
+    stopped: usize,
+    /// When each urgent job was handed in and first started, by job.
+    urgent: Vec<(u64, Option<u64>)>,
+}
+
+fn is_urgent(task: TaskName) -> bool {
+    task.to_string().starts_with("00000000000a")
+}
+
+impl Site {
+    fn new(workers: u32) -> Site {
+        Site {
+            bench: Bench::with_workers(workers),
+            runs: Vec::new(),
+            ends: vec![0; workers as usize],
+            stopped: 0,
+            urgent: Vec::new(),
+        }
+    }
+
+    fn place(&self, order: &Order) -> usize {
+        let worker = worker_of(order);
+        self.bench
+            .workers
+            .iter()
+            .position(|w| *w == worker)
+            .unwrap()
+    }
+
+    /// Passes 100 ms: ends what is done, reports, plans, starts.
+    fn pass(&mut self) {
+        self.bench.now_ms += 100;
+        let now_ms = self.bench.now_ms;
+        for at in 0..self.ends.len() {
+            let (over, on): (Vec<usize>, Vec<usize>) = (0..self.runs.len())
+                .filter(|run| self.place(&self.runs[*run].order) == at)
+                .partition(|run| self.runs[*run].ends_ms <= now_ms);
+            let rows = on
+                .iter()
+                .map(|run| running(&self.runs[*run].order))
+                .collect();
+            let mut ends = Vec::new();
+            for run in over {
+                self.ends[at] += 1;
+                let how = match self.runs[run].ends_ms {
+                    0 => EndHow::Stopped,
+                    _ => EndHow::Done,
+                };
+                ends.push(ended(&self.runs[run].order, self.ends[at], how, ""));
+            }
+            self.bench.report(at, rows, ends);
+        }
+        self.runs.retain(|run| run.ends_ms > now_ms);
+        let orders = self.bench.start_all();
+        self.stopped += stops(&orders).len();
+        for order in orders {
+            match &order {
+                Order::Start { task, .. } => {
+                    let takes_ms = match is_urgent(*task) {
+                        true => URGENT_MS,
+                        false => OTHER_MS,
+                    };
+                    if is_urgent(*task) {
+                        let at = usize::from_str_radix(&task.to_string()[12..16], 16).unwrap();
+                        self.urgent[at].1.get_or_insert(now_ms);
+                    }
+                    self.runs.push(Run {
+                        order,
+                        ends_ms: now_ms + takes_ms,
+                    });
+                }
+                Order::Stop { task, .. } => {
+                    let stopped = self.runs.iter_mut().find(|run| match &run.order {
+                        Order::Start { task: running, .. } => running == task,
+                        _ => false,
+                    });
+                    if let Some(run) = stopped {
+                        run.ends_ms = 0;
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// An urgent gang that fits on half a rack comes.
+    fn hand_in_urgent(&mut self) {
+        let number = self.urgent.len() as u64;
+        let gang = StepSpec {
+            gang: true,
+            one_rack: true,
+            ..step(4, 4)
+        };
+        let now_ms = self.bench.now_ms;
+        self.urgent.push((now_ms, None));
+        let id = 0x0000_0000_000a_0000 + number;
+        self.bench
+            .planner
+            .add_job(job(id, 0, vec![gang]), 1_000 + number, now_ms);
+    }
+
+    /// Other work comes, as much as the site can run at once.
+    fn hand_in_other(&mut self, number: u64, tasks: u32) {
+        let now_ms = self.bench.now_ms;
+        let other = StepSpec {
+            estimate_ms: OTHER_MS,
+            ..step(tasks, 1)
+        };
+        let stored = StoredJob {
+            stretch_percent: 600,
+            ..job(number, 2, vec![other])
+        };
+        self.bench.planner.add_job(stored, number, now_ms);
+    }
+}
+
+#[test]
+fn urgent_gangs_start_at_once_beside_pressing_work() {
+    let mut site = Site::new(16);
+    for tick in 0..120_u64 {
+        if tick % 8 == 0 {
+            site.hand_in_urgent();
+        }
+        if tick == 20 || tick == 60 {
+            site.hand_in_other(tick, 100);
+        }
+        site.pass();
+    }
+    let late: Vec<_> = site
+        .urgent
+        .iter()
+        .filter(|(came_ms, started_ms)| started_ms.is_none_or(|at| at > came_ms + 100))
+        .collect();
+    assert!(late.is_empty(), "had to wait: {late:?}");
+    assert_eq!(site.stopped, 0, "nothing had to be stopped for them");
+    assert!(
+        site.runs
+            .iter()
+            .filter(|run| !matches!(&run.order, Order::Start { task, .. } if is_urgent(*task)))
+            .count()
+            >= 60,
+        "other work still uses most of the room"
+    );
+}
+
+#[rstest]
+#[case::fresh(0, false)]
+#[case::pressed(12_000, true)]
+fn other_work_takes_kept_room_once_pressed(#[case] waited_ms: u64, #[case] takes: bool) {
+    let mut bench = Bench::with_workers(8);
+    let gang = StepSpec {
+        gang: true,
+        ..step(4, 8)
+    };
+    bench
+        .planner
+        .add_job(job(1, 0, vec![gang]), 1, bench.now_ms);
+    let urgent = bench.start_all();
+    for (number, order) in urgent.iter().enumerate() {
+        let at = bench
+            .workers
+            .iter()
+            .position(|w| *w == worker_of(order))
+            .unwrap();
+        bench.report(
+            at,
+            vec![],
+            vec![ended(order, number as u64 + 1, EndHow::Done, "")],
+        );
+    }
+    let other = StepSpec {
+        estimate_ms: OTHER_MS,
+        ..step(8, 8)
+    };
+    let stored = StoredJob {
+        stretch_percent: 300,
+        ..job(2, 2, vec![other])
+    };
+    bench.planner.add_job(stored, 2, bench.now_ms);
+    let first = starts(&bench.start_all()).len();
+    assert_eq!(
+        first, 4,
+        "half of the workers are kept for another such gang"
+    );
+    bench.now_ms += waited_ms;
+    for at in 0..8 {
+        bench.report(at, vec![], vec![]);
+    }
+    assert_eq!(!starts(&bench.plan()).is_empty(), takes);
+}
