Pass callers' calls on to a peer that reaches the store

Nodes now enter themselves in the store under a lease, keep the list through an outage, and pass a call on by tarpc when their own call fails or is known to fail. A peer with an older configuration does not decide; a refusal elsewhere does not make an own unknown outcome 'not run'.

--- a/crates/control/src/configuration.rs
+++ b/crates/control/src/configuration.rs
@@ -1,7 +1,6 @@
 //! Follows the declared configuration in the store.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use adapter::{CONFIGURATION_KEY, Event, WatchOutcome, decode_configuration};
@@ -23,25 +22,12 @@
 pub(crate) async fn follow_configuration(node: Arc<Node>) {
     loop {
         if let Err(why) = read_and_watch(&node).await {
-            note_contact(&node, Some(&why));
+            node.note_store(Some(&why));
             tokio::time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
         }
     }
 }
 
-/// Logs that contact with the store was lost, and why, or that it was regained.
-fn note_contact(node: &Node, lost: Option<&str>) {
-    let before = node.store_reached.swap(lost.is_none(), Ordering::Relaxed);
-    match (before, lost) {
-        (true, Some(why)) => {
-            node.log
-                .general("store", "contact lost", &[("why", Value::from(why))])
-        }
-        (false, None) => node.log.general("store", "contact regained", &[]),
-        _ => {}
-    }
-}
-
 /// Reads the configuration, then watches it until the watch has to be begun anew.
 async fn read_and_watch(node: &Arc<Node>) -> Result<(), String> {
     let sent_ms = now_ms();
@@ -53,7 +39,7 @@
     let Some(item) = item else {
         return Err("no configuration is declared".to_string());
     };
-    note_contact(node, None);
+    node.note_store(None);
     let mut after = revision.max(item.revision);
     take(node, &item.value, item.revision, sent_ms);
     loop {
@@ -70,6 +56,7 @@
             // missed while it was deaf.
             Ok(WatchOutcome::Events(events, _)) => {
                 node.contact.confirm(sent_ms);
+                node.note_store(None);
                 for event in events {
                     if let Event::Written(item) = event
                         && item.key == CONFIGURATION_KEY
--- a/crates/control/src/intake.rs
+++ b/crates/control/src/intake.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use adapter::{CONFIGURATION_KEY, CallError, Precondition, Put, Txn, TxnOutcome, decode_job};
-use poem::http::StatusCode;
 use scheduler::{JobId, JobRequest, JobState, StoredJob};
 use serde_json::Value;
 
@@ -14,41 +13,59 @@
 use crate::keys;
 use crate::metrics::{Counter, Timing};
 use crate::node::Node;
-use crate::requests::{Call, Reply};
-
-/// How long one store call of a request may take before it is made again on a new connection.
-pub(crate) const CALL_TIMEOUT_MS: u64 = 700;
+use crate::reply::Reply;
+use crate::requests::Call;
 
 /// The pause before a call is made again that the store did not carry out.
-const RETRY_PAUSE_MS: u64 = 40;
+pub(crate) const RETRY_PAUSE_MS: u64 = 40;
+
+/// How long a node tries to reach the store for one request.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Patience {
+    /// How long one store call may take before it is made again on a new connection.
+    pub timeout_ms: u64,
+    /// Calls that the store certainly did not carry out, before the request is given up.
+    pub most_not_done: u32,
+    /// Calls without an answer, before the request is given up.
+    pub most_unanswered: u32,
+}
 
-/// Calls that the store certainly did not carry out, before the caller is refused.
-const MOST_NOT_DONE: u32 = 3;
+/// The patience of a node that can pass requests on: one call, and more time than it takes a store that is 100 times
+/// slower than usual.
+const WITH_PEERS: Patience = Patience {
+    timeout_ms: 500,
+    most_not_done: 1,
+    most_unanswered: 1,
+};
 
-/// Calls without an answer, before the caller is sent to another node.
-const MOST_UNANSWERED: u32 = 2;
+/// The patience of a node that has nobody to pass requests on to.
+const ALONE: Patience = Patience {
+    timeout_ms: 700,
+    most_not_done: 3,
+    most_unanswered: 2,
+};
+
+/// How long this node tries now.
+pub(crate) fn patience(node: &Node) -> Patience {
+    match node.peers.is_empty() {
+        true => ALONE,
+        false => WITH_PEERS,
+    }
+}
 
 /// Takes in a job that a caller hands in.
 pub(crate) async fn accept_job(node: &Arc<Node>, call: &Call, id: JobId, body: &[u8]) -> Reply {
     let request = match decode_job(body) {
         Ok(request) => request,
         Err(e) => {
-            return Reply::refused(
-                StatusCode::BAD_REQUEST,
-                Counter::RefusedMalformed,
-                e.to_string(),
-            );
+            return Reply::refused(Counter::RefusedMalformed, e.to_string());
         }
     };
     let mut tries = Tries::default();
     loop {
         let Some(now) = node.contact.latest() else {
             let detail = "no configuration is known";
-            return Reply::refused(
-                StatusCode::SERVICE_UNAVAILABLE,
-                Counter::RefusedNoConfiguration,
-                detail,
-            );
+            return Reply::refused(Counter::RefusedNoConfiguration, detail);
         };
         let txn = match build_txn(&now, call, id, &request) {
             Ok(txn) => txn,
@@ -98,18 +115,10 @@
 fn build_txn(now: &InForce, call: &Call, id: JobId, request: &JobRequest) -> Result<Txn, Reply> {
     let Some((queue, _)) = now.configuration.find_queue(&call.host, &call.path) else {
         let detail = "no queue has that host and path";
-        return Err(Reply::refused(
-            StatusCode::NOT_FOUND,
-            Counter::RefusedNoQueue,
-            detail,
-        ));
+        return Err(Reply::refused(Counter::RefusedNoQueue, detail));
     };
     let Ok(organisation) = now.configuration.admit_caller(queue, call.key.as_deref()) else {
-        return Err(Reply::refused(
-            StatusCode::UNAUTHORIZED,
-            Counter::RefusedKey,
-            "the key is not known",
-        ));
+        return Err(Reply::refused(Counter::RefusedKey, "the key is not known"));
     };
     let stored = StoredJob {
         id,
@@ -123,13 +132,8 @@
         advice: queue.advice,
         request: request.clone(),
     };
-    let value = serde_json::to_vec(&stored).map_err(|e| {
-        Reply::refused(
-            StatusCode::BAD_REQUEST,
-            Counter::RefusedMalformed,
-            e.to_string(),
-        )
-    })?;
+    let value = serde_json::to_vec(&stored)
+        .map_err(|e| Reply::refused(Counter::RefusedMalformed, e.to_string()))?;
     let absent = |key: String| Precondition { key, revision: 0 };
     Ok(Txn {
         conditions: vec![
@@ -169,7 +173,7 @@
     pub fn give_up(&self, why: &str) -> Reply {
         match self.unknown {
             true => Reply::OutcomeUnknown,
-            false => Reply::refused(StatusCode::SERVICE_UNAVAILABLE, Counter::RefusedStore, why),
+            false => Reply::refused(Counter::RefusedStore, why),
         }
     }
 }
@@ -182,6 +186,7 @@
     tries: &mut Tries,
 ) -> Result<TxnOutcome, Reply> {
     let mut fresh = false;
+    let patience = patience(node);
     loop {
         let left_ms = call.answer_by_ms.saturating_sub(now_ms());
         if left_ms == 0 {
@@ -191,20 +196,24 @@
         node.metrics.count(Counter::StoreCalls);
         let result = node
             .store
-            .change(txn, CALL_TIMEOUT_MS.min(left_ms), fresh)
+            .change(txn, patience.timeout_ms.min(left_ms), fresh)
             .await;
         node.metrics
             .record(Timing::StoreCall, now_ms().saturating_sub(sent_ms));
         let error = match result {
-            Ok(outcome) => return Ok(outcome),
+            Ok(outcome) => {
+                node.note_store(None);
+                return Ok(outcome);
+            }
             Err(error) => error,
         };
         fresh = true;
+        node.note_store(Some(&error.to_string()));
         match error {
             CallError::NotDone(why) => {
                 node.metrics.count(Counter::StoreRetriesNotDone);
                 tries.not_done += 1;
-                if tries.not_done >= MOST_NOT_DONE {
+                if tries.not_done >= patience.most_not_done {
                     return Err(tries.give_up(&why));
                 }
             }
@@ -212,7 +221,7 @@
                 node.metrics.count(Counter::StoreRetriesUnknown);
                 tries.unknown = true;
                 tries.unanswered += 1;
-                if tries.unanswered >= MOST_UNANSWERED {
+                if tries.unanswered >= patience.most_unanswered {
                     return Err(tries.give_up("the store does not answer"));
                 }
             }
--- a/crates/control/src/job_calls.rs
+++ b/crates/control/src/job_calls.rs
@@ -5,27 +5,21 @@
 use std::time::Duration;
 
 use adapter::{CONFIGURATION_KEY, Item, Precondition, Put, Txn, TxnOutcome};
-use poem::http::StatusCode;
 use scheduler::{JobId, JobRecord, JobState};
 use serde_json::Value;
 
 use crate::clock::now_ms;
 use crate::configuration::take;
-use crate::intake::{CALL_TIMEOUT_MS, Tries, change_store};
+use crate::intake::{RETRY_PAUSE_MS, Tries, change_store, patience};
 use crate::keys;
 use crate::metrics::Counter;
 use crate::node::Node;
-use crate::requests::{Call, Reply};
+use crate::reply::Reply;
+use crate::requests::Call;
 
 /// How old the counts of waiting jobs may be; the platform allows 2 s.
 const WAITING_FRESH_MS: u64 = 900;
 
-/// The pause before a read is made again.
-const RETRY_PAUSE_MS: u64 = 40;
-
-/// Reads that fail before the caller is refused.
-const MOST_FAILED_READS: u32 = 3;
-
 /// Jobs of which nothing has begun, by queue.
 #[derive(Debug, Default)]
 pub(crate) struct WaitingCounts {
@@ -37,25 +31,26 @@
 /// Reads an item for a request, again on a new connection if the store does not answer.
 async fn read_item(node: &Node, call: &Call, key: &str) -> Result<Option<Item>, Reply> {
     let mut failed = 0;
+    let patience = patience(node);
     loop {
         let left_ms = call.answer_by_ms.saturating_sub(now_ms());
         node.metrics.count(Counter::StoreCalls);
         let why = match node
             .store
-            .read(key, CALL_TIMEOUT_MS.min(left_ms.max(1)), failed > 0)
+            .read(key, patience.timeout_ms.min(left_ms.max(1)), failed > 0)
             .await
         {
-            Ok(item) => return Ok(item),
+            Ok(item) => {
+                node.note_store(None);
+                return Ok(item);
+            }
             Err(e) => e.to_string(),
         };
         failed += 1;
+        node.note_store(Some(&why));
         node.metrics.count(Counter::StoreRetriesNotDone);
-        if failed >= MOST_FAILED_READS || now_ms() >= call.answer_by_ms {
-            return Err(Reply::refused(
-                StatusCode::SERVICE_UNAVAILABLE,
-                Counter::RefusedStore,
-                why,
-            ));
+        if failed >= patience.most_not_done || now_ms() >= call.answer_by_ms {
+            return Err(Reply::refused(Counter::RefusedStore, why));
         }
         tokio::time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
     }
@@ -70,11 +65,7 @@
         ];
         node.log
             .request("intake", "record unreadable", &id.to_string(), &fields);
-        Reply::refused(
-            StatusCode::SERVICE_UNAVAILABLE,
-            Counter::RefusedStore,
-            "the job's record cannot be read",
-        )
+        Reply::refused(Counter::RefusedStore, "the job's record cannot be read")
     })?;
     if record.state.is_final() {
         node.remember_final(id, record.state);
@@ -134,11 +125,7 @@
                     .is_ok()
             });
         if !allowed {
-            return Err(Reply::refused(
-                StatusCode::UNAUTHORIZED,
-                Counter::RefusedKey,
-                "the key is not known",
-            ));
+            return Err(Reply::refused(Counter::RefusedKey, "the key is not known"));
         }
         let Some(job) = read_item(node, call, &keys::job(id)).await? else {
             let state = find_state(node, call, id).await?;
@@ -192,7 +179,9 @@
     }
     let read_ms = now_ms();
     node.metrics.count(Counter::StoreCalls);
-    let timeout_ms = CALL_TIMEOUT_MS.min(call.answer_by_ms.saturating_sub(read_ms).max(1));
+    let timeout_ms = patience(node)
+        .timeout_ms
+        .min(call.answer_by_ms.saturating_sub(read_ms).max(1));
     match node.store.read_all(keys::WAITING_PREFIX, timeout_ms).await {
         Ok((items, _)) => {
             let mut counts: HashMap<String, usize> = HashMap::new();
@@ -206,11 +195,7 @@
             }
             fresh_count(node, queue, 0).map_or(Reply::Waiting(0), Reply::Waiting)
         }
-        Err(e) => Reply::refused(
-            StatusCode::SERVICE_UNAVAILABLE,
-            Counter::RefusedStore,
-            e.to_string(),
-        ),
+        Err(e) => Reply::refused(Counter::RefusedStore, e.to_string()),
     }
 }
 
--- a/crates/control/src/keys.rs
+++ b/crates/control/src/keys.rs
@@ -7,6 +7,7 @@
 //! | `q/j/ID` | the job as accepted | the node that accepts it | by the planner, when all is over |
 //! | `q/c/ID` | empty: its caller cancelled it | the node that takes the cancel | with `q/j/ID` |
 //! | `n/ID` | its queue, while nothing of it has begun | the node that accepts it | by the planner |
+//! | `peers/NODE` | where the node takes calls that its peers pass on | each node, under a lease | with the lease |
 //! | `r/ID` | how far it has come | the planner | some time after its end |
 
 use scheduler::JobId;
@@ -28,6 +29,14 @@
 /// How far jobs have come.
 pub(crate) const RECORDS_PREFIX: &str = "r/";
 
+/// Where nodes take calls that their peers pass on.
+pub(crate) const PEERS_PREFIX: &str = "peers/";
+
+/// A node's entry among the peers.
+pub(crate) fn peer(node: &str) -> String {
+    format!("{PEERS_PREFIX}{node}")
+}
+
 /// A job as accepted.
 pub(crate) fn job(id: JobId) -> String {
     format!("{JOBS_PREFIX}{id}")
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -18,6 +18,8 @@
 mod metrics;
 mod node;
 mod orders;
+mod peers;
+mod reply;
 mod requests;
 mod settings;
 mod stop;
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -5,10 +5,13 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
 use strum::{EnumCount, EnumIter, IntoEnumIterator, IntoStaticStr};
 
 /// What is counted.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, EnumCount, EnumIter, IntoStaticStr)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, EnumCount, EnumIter, IntoStaticStr, Serialize, Deserialize,
+)]
 #[strum(serialize_all = "snake_case")]
 pub enum Counter {
     /// Jobs stored by this node.
@@ -27,6 +30,14 @@
     RefusedTooLarge,
     /// Refused: the body cannot be read.
     RefusedMalformed,
+    /// Refused: not a method that callers use.
+    RefusedMethod,
+    /// Calls passed on to another node, since this one does not reach the store.
+    PassedOn,
+    /// Calls that no other node could answer either.
+    PassedOnInVain,
+    /// Calls answered for another node.
+    AnsweredForPeer,
     /// Answered 504: whether the store took the call is not known.
     OutcomeUnknown,
     /// Store calls.
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -20,6 +20,7 @@
 use crate::lead::{campaign, release_lead};
 use crate::log::Log;
 use crate::metrics::Metrics;
+use crate::peers::{PeerList, follow_peers, serve_peers};
 use crate::requests::{Front, MetricsPage, Readiness};
 use crate::settings::Settings;
 use crate::stop::{StopSignals, wait_until_idle};
@@ -65,11 +66,12 @@
     /// The service answers one question of a node at a time.
     pub advice_turn: tokio::sync::Mutex<()>,
     pub contact: Contact,
+    pub peers: PeerList,
     pub configuration_changed: Notify,
     pub log: Log,
     pub metrics: Metrics,
-    /// Whether the store answered the last call about the configuration.
-    pub store_reached: AtomicBool,
+    /// Whether the store answered the last call that tells.
+    store_reached: AtomicBool,
     /// Whether a planned stop is under way.
     pub stopping: AtomicBool,
     /// Requests that are being answered.
@@ -88,6 +90,24 @@
         now_ms.saturating_sub(OUT_OF_CONTACT_MS.min(self.settings.bounds.revoke_ms * 6 / 10))
     }
 
+    /// Whether the store answered lately, as far as is known.
+    pub fn is_store_reached(&self) -> bool {
+        self.store_reached.load(Ordering::Relaxed)
+    }
+
+    /// Notes that the store answered, or why it did not; logs when that changes.
+    pub fn note_store(&self, lost: Option<&str>) {
+        let before = self.store_reached.swap(lost.is_none(), Ordering::Relaxed);
+        match (before, lost) {
+            (true, Some(why)) => {
+                let fields = [("why", Value::from(why))];
+                self.log.general("store", "contact lost", &fields);
+            }
+            (false, None) => self.log.general("store", "contact regained", &[]),
+            _ => {}
+        }
+    }
+
     /// Remembers a state that stays.
     pub fn remember_final(&self, id: JobId, state: JobState) {
         if let Ok(mut states) = self.final_states.lock() {
@@ -127,6 +147,7 @@
         advice_turn: tokio::sync::Mutex::new(()),
         workers: WorkerClient::new(http, ORDER_TIMEOUT_MS),
         contact: Contact::default(),
+        peers: PeerList::default(),
         configuration_changed: Notify::new(),
         metrics: Metrics::new()?,
         store_reached: AtomicBool::new(false),
@@ -149,6 +170,9 @@
     let signals = StopSignals::listen()?;
     tokio::spawn(follow_configuration(node.clone()));
     tokio::spawn(campaign(node.clone()));
+    if let Some(address) = node.settings.peers {
+        tokio::spawn(follow_peers(node.clone(), address));
+    }
     let front = tokio::spawn(
         Server::new(TcpListener::bind(node.settings.callers)).run(Front(node.clone())),
     );
@@ -158,7 +182,9 @@
     let metrics = tokio::spawn(
         Server::new(TcpListener::bind(node.settings.metrics)).run(MetricsPage(node.clone())),
     );
+    let peers = serve_peers_if_asked(&node);
     tokio::select! {
+        result = peers => return Ok(result?),
         result = front => return Ok(result.map_err(std::io::Error::other)??),
         result = readiness => return Ok(result.map_err(std::io::Error::other)??),
         result = metrics => return Ok(result.map_err(std::io::Error::other)??),
@@ -171,3 +197,11 @@
     node.log.general("node", "stopped", &[]);
     Ok(())
 }
+
+/// Serves peers' calls, on a node whose settings say where.
+async fn serve_peers_if_asked(node: &Arc<Node>) -> std::io::Result<()> {
+    match node.settings.peers {
+        Some(address) => serve_peers(node.clone(), address).await,
+        None => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/crates/control/src/peers.rs
@@ -0,0 +1,303 @@
+//! Passes callers' calls on to a node that reaches the store, while this one does not.
+//!
+//! Every node that serves peers stands in the store under a lease of its own; all nodes read that list now and then and
+//! keep what they know of it through an outage.
+
+use std::net::SocketAddrV4;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use adapter::{CallError, Precondition, Put, Txn, TxnOutcome};
+use futures::StreamExt;
+use poem::http::Method;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use tarpc::client;
+use tarpc::context::{self, Context};
+use tarpc::serde_transport::tcp;
+use tarpc::server::{BaseChannel, Channel};
+use tarpc::tokio_serde::formats::Bincode;
+
+use crate::clock::now_ms;
+use crate::keys;
+use crate::metrics::Counter;
+use crate::node::Node;
+use crate::reply::Reply;
+use crate::requests::{Call, handle};
+
+/// How long a node stands in the list after its last renewal: longer than the longest outage that the users list, so
+/// that few have to be entered again after one.
+const ENTRY_TTL_MS: u64 = 30_000;
+
+/// How often the entry is renewed and the list is read: a new VM takes calls for its peers after that long.
+const REFRESH_EVERY_MS: u64 = 8_000;
+
+/// The pause before an entry that failed is tried again.
+const RETRY_PAUSE_MS: u64 = 1_000;
+
+/// How long a store call of this part may take.
+const CALL_TIMEOUT_MS: u64 = 900;
+
+/// How long a connection to a peer may take; the way between two regions and back takes 24 ms.
+const CONNECT_TIMEOUT_MS: u64 = 250;
+
+/// How long a peer may take: its store call and the way.
+const PASS_TIMEOUT_MS: u64 = 1_000;
+
+/// Peers that are asked in turn.
+const MOST_PEERS_ASKED: usize = 3;
+
+/// How long nobody is asked after no peer could answer: in an outage for all, callers get their answer at once.
+const REST_MS: u64 = 300;
+
+/// A caller's call, as it is passed on.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct PassedCall {
+    /// The caller's key.
+    key: Option<String>,
+    host: String,
+    path: String,
+    method: String,
+    body: Vec<u8>,
+    /// How much time the caller leaves.
+    left_ms: u64,
+    /// The configuration that the passing node knows: an older one must not decide.
+    least_version: u64,
+}
+
+/// What nodes ask of each other.
+#[tarpc::service]
+trait Peer {
+    /// Answers a caller's call for a node that does not reach the store; none if this node cannot answer either.
+    async fn answer(call: PassedCall) -> Option<Reply>;
+}
+
+/// Where the other nodes take passed calls.
+#[derive(Debug, Default)]
+pub(crate) struct PeerList {
+    addresses: Mutex<Vec<SocketAddrV4>>,
+    /// The peer to ask next, so that calls are spread.
+    turn: AtomicUsize,
+    /// Nobody is asked before this time, since nobody could answer lately.
+    rest_until_ms: AtomicU64,
+}
+
+impl PeerList {
+    fn set(&self, addresses: Vec<SocketAddrV4>) {
+        if let Ok(mut known) = self.addresses.lock() {
+            *known = addresses;
+        }
+    }
+
+    /// Whether there is nobody to pass a call to.
+    pub fn is_empty(&self) -> bool {
+        self.addresses.lock().is_ok_and(|known| known.is_empty())
+    }
+
+    /// Nobody could answer: leaves the peers alone for a moment.
+    fn rest(&self) {
+        self.rest_until_ms
+            .fetch_max(now_ms() + REST_MS, Ordering::Relaxed);
+    }
+
+    /// Some peers, each time beginning with the next one; none shortly after nobody could answer.
+    fn next(&self) -> Vec<SocketAddrV4> {
+        if now_ms() < self.rest_until_ms.load(Ordering::Relaxed) {
+            return Vec::new();
+        }
+        let first = self.turn.fetch_add(1, Ordering::Relaxed);
+        self.addresses.lock().map_or_else(
+            |_| Vec::new(),
+            |known| {
+                let asked = known.len().min(MOST_PEERS_ASKED);
+                (0..asked)
+                    .map(|at| known[(first + at) % known.len()])
+                    .collect()
+            },
+        )
+    }
+}
+
+/// Passes a call on to peers, one after the other; none if no peer could answer it.
+///
+/// A peer that does not answer may have carried the call out. That is no harm, since calls are made again under the
+/// same id, but the caller must not be told that it was not carried out.
+pub(crate) async fn pass_on(
+    node: &Arc<Node>,
+    call: &Call,
+    method: &Method,
+    body: &[u8],
+) -> Option<Reply> {
+    let changes = *method != Method::GET;
+    let mut unknown = false;
+    let peers = node.peers.next();
+    if peers.is_empty() {
+        return None;
+    }
+    for address in peers {
+        let left_ms = call.answer_by_ms.saturating_sub(now_ms());
+        if left_ms == 0 {
+            break;
+        }
+        node.metrics.count(Counter::PassedOn);
+        let passed = PassedCall {
+            key: call.key.clone(),
+            host: call.host.clone(),
+            path: call.path.clone(),
+            method: method.to_string(),
+            body: body.to_vec(),
+            left_ms,
+            least_version: node.contact.version().0,
+        };
+        match ask(address, passed, left_ms.min(PASS_TIMEOUT_MS)).await {
+            Asked::Answered(Some(Reply::Refused { .. })) if unknown => break,
+            Asked::Answered(Some(reply)) if !reply.is_for_want_of_store() => return Some(reply),
+            Asked::Answered(Some(Reply::OutcomeUnknown)) | Asked::Silent => unknown |= changes,
+            Asked::Answered(_) | Asked::NotReached => {}
+        }
+    }
+    node.metrics.count(Counter::PassedOnInVain);
+    node.peers.rest();
+    unknown.then_some(Reply::OutcomeUnknown)
+}
+
+/// What came of asking one peer.
+enum Asked {
+    /// It answered.
+    Answered(Option<Reply>),
+    /// Nothing was sent.
+    NotReached,
+    /// The call was sent, and no answer came.
+    Silent,
+}
+
+async fn ask(address: SocketAddrV4, passed: PassedCall, timeout_ms: u64) -> Asked {
+    let connect = tcp::connect(address, Bincode::default);
+    let connected = tokio::time::timeout(Duration::from_millis(CONNECT_TIMEOUT_MS), connect).await;
+    let Ok(Ok(transport)) = connected else {
+        return Asked::NotReached;
+    };
+    let peer = PeerClient::new(client::Config::default(), transport).spawn();
+    let mut context = context::current();
+    context.deadline = Instant::now() + Duration::from_millis(timeout_ms);
+    match peer.answer(context, passed).await {
+        Ok(reply) => Asked::Answered(reply),
+        Err(_) => Asked::Silent,
+    }
+}
+
+/// Answers calls for peers.
+#[derive(Clone)]
+struct PeerServer(Arc<Node>);
+
+impl Peer for PeerServer {
+    async fn answer(self, _: Context, passed: PassedCall) -> Option<Reply> {
+        let node = &self.0;
+        let able = node.is_store_reached()
+            && !node.is_stopping()
+            && node.contact.version().0 >= passed.least_version;
+        if !able {
+            return None;
+        }
+        let method: Method = passed.method.parse().ok()?;
+        let arrived_ms = now_ms();
+        let call = Call {
+            arrived_ms,
+            answer_by_ms: arrived_ms + passed.left_ms,
+            key: passed.key,
+            host: passed.host,
+            path: passed.path,
+        };
+        let reply = handle(node, &call, &method, &passed.body).await;
+        if !reply.is_for_want_of_store() {
+            node.metrics.count(Counter::AnsweredForPeer);
+        }
+        Some(reply)
+    }
+}
+
+/// Serves peers' calls until the process ends.
+pub(crate) async fn serve_peers(node: Arc<Node>, address: SocketAddrV4) -> std::io::Result<()> {
+    let incoming = tcp::listen(address, Bincode::default).await?;
+    incoming
+        .filter_map(|transport| std::future::ready(transport.ok()))
+        .for_each(|transport| {
+            let calls =
+                BaseChannel::with_defaults(transport).execute(PeerServer(node.clone()).serve());
+            tokio::spawn(calls.for_each(|call| {
+                tokio::spawn(call);
+                std::future::ready(())
+            }));
+            std::future::ready(())
+        })
+        .await;
+    Ok(())
+}
+
+/// Keeps this node's entry in the list of peers, and its own copy of the list.
+pub(crate) async fn follow_peers(node: Arc<Node>, address: SocketAddrV4) {
+    let mut lease = None;
+    loop {
+        let pause_ms = match refresh(&node, address, &mut lease).await {
+            Ok(()) => REFRESH_EVERY_MS,
+            Err(e) => {
+                let fields = [("why", Value::from(e.to_string()))];
+                node.log.general("peers", "list not refreshed", &fields);
+                RETRY_PAUSE_MS
+            }
+        };
+        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+    }
+}
+
+async fn refresh(
+    node: &Node,
+    address: SocketAddrV4,
+    lease: &mut Option<u64>,
+) -> Result<(), CallError> {
+    let held = match *lease {
+        Some(held) => node.store.renew_lease(held, CALL_TIMEOUT_MS, false).await?,
+        None => false,
+    };
+    if !held {
+        let (taken, _) = node.store.take_lease(ENTRY_TTL_MS, CALL_TIMEOUT_MS).await?;
+        *lease = Some(taken);
+        enter(node, address, taken).await?;
+    }
+    let (items, _) = node
+        .store
+        .read_all(keys::PEERS_PREFIX, CALL_TIMEOUT_MS)
+        .await?;
+    let addresses = items
+        .iter()
+        .filter_map(|item| std::str::from_utf8(&item.value).ok()?.parse().ok())
+        .filter(|other| *other != address)
+        .collect();
+    node.peers.set(addresses);
+    Ok(())
+}
+
+/// Writes this node's entry; an entry of an earlier life gives way.
+async fn enter(node: &Node, address: SocketAddrV4, lease: u64) -> Result<(), CallError> {
+    let key = keys::peer(&node.settings.name);
+    let before = node.store.read(&key, CALL_TIMEOUT_MS, false).await?;
+    let txn = Txn {
+        conditions: vec![Precondition {
+            key: key.clone(),
+            revision: before.map_or(0, |item| item.revision),
+        }],
+        puts: vec![Put {
+            key,
+            value: address.to_string().into_bytes(),
+            lease: Some(lease),
+        }],
+        removals: Vec::new(),
+    };
+    match node.store.change(&txn, CALL_TIMEOUT_MS, false).await? {
+        TxnOutcome::Done(_) => Ok(()),
+        TxnOutcome::Conflict(_) | TxnOutcome::NoLease => Err(CallError::NotDone(
+            "the entry changed meanwhile".to_string(),
+        )),
+    }
+}
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use adapter::{encode_state, encode_waiting, read_headers, refusal_body};
+use adapter::read_headers;
 use poem::http::{Method, StatusCode};
 use poem::{Endpoint, Request, Response};
-use scheduler::{Denied, JobId, JobState};
+use scheduler::{Denied, JobId};
 use serde_json::Value;
 
 use crate::clock::now_ms;
@@ -14,6 +14,8 @@
 use crate::job_calls::{cancel_job, count_waiting, read_state};
 use crate::metrics::{Counter, Timing};
 use crate::node::Node;
+use crate::peers::pass_on;
+use crate::reply::Reply;
 
 /// How long a caller waits that does not say so; the budget of all kinds of request today.
 const DEFAULT_WAIT_MS: u64 = 3_000;
@@ -21,9 +23,6 @@
 /// Kept free of a caller's time for the way back.
 const ANSWER_MARGIN_MS: u64 = 250;
 
-/// When a caller may come back after a refusal: the configuration and the store are looked at that often.
-const RETRY_AFTER_S: u64 = 1;
-
 /// One call, as far as it has been understood.
 #[derive(Debug, Clone)]
 pub(crate) struct Call {
@@ -38,35 +37,6 @@
     pub path: String,
 }
 
-/// What a call comes to.
-#[derive(Debug)]
-pub(crate) enum Reply {
-    /// A job's state.
-    State(JobState),
-    /// How many jobs wait.
-    Waiting(usize),
-    /// No such job.
-    Gone,
-    /// Turned away, and certainly not carried out.
-    Refused {
-        status: StatusCode,
-        reason: Counter,
-        detail: String,
-    },
-    /// Whether it was carried out is not known.
-    OutcomeUnknown,
-}
-
-impl Reply {
-    pub fn refused(status: StatusCode, reason: Counter, detail: impl Into<String>) -> Reply {
-        Reply::Refused {
-            status,
-            reason,
-            detail: detail.into(),
-        }
-    }
-}
-
 /// Serves callers.
 pub(crate) struct Front(pub Arc<Node>);
 
@@ -111,20 +81,15 @@
         .map_or(0, |now| now.configuration.limits.body_bytes);
     let body = request.take_body().into_bytes_limit(limit.max(1)).await;
     let reply = match body {
-        Ok(body) => handle(node, &call, &method, &body).await,
+        Ok(body) => answer_anyhow(node, &call, &method, &body).await,
         Err(poem::error::ReadBodyError::PayloadTooLarge) => Reply::refused(
-            StatusCode::PAYLOAD_TOO_LARGE,
             Counter::RefusedTooLarge,
             format!("the body is larger than {limit} bytes"),
         ),
-        Err(e) => Reply::refused(
-            StatusCode::BAD_REQUEST,
-            Counter::RefusedMalformed,
-            e.to_string(),
-        ),
+        Err(e) => Reply::refused(Counter::RefusedMalformed, e.to_string()),
     };
     note(node, &call, &method, &reply);
-    let mut response = respond(reply);
+    let mut response = reply.into_response();
     if node.is_stopping() {
         response
             .headers_mut()
@@ -133,47 +98,54 @@
     response
 }
 
-/// Finds out what a call asks for, and does it.
-async fn handle(node: &Arc<Node>, call: &Call, method: &Method, body: &[u8]) -> Reply {
+/// Answers a call here, or through a peer while this node does not reach the store.
+async fn answer_anyhow(node: &Arc<Node>, call: &Call, method: &Method, body: &[u8]) -> Reply {
+    let mut passed = false;
+    if !node.is_store_reached() {
+        passed = true;
+        if let Some(reply) = pass_on(node, call, method, body).await {
+            return reply;
+        }
+    }
+    let reply = handle(node, call, method, body).await;
+    if passed || !reply.is_for_want_of_store() {
+        return reply;
+    }
+    match pass_on(node, call, method, body).await {
+        // This node's own write may still be carried out, so a refusal elsewhere does not show that nothing was.
+        Some(Reply::Refused { .. }) if reply == Reply::OutcomeUnknown => reply,
+        through_peer => through_peer.unwrap_or(reply),
+    }
+}
+
+/// Finds out what a call asks for, and does it with what this node knows and reaches.
+pub(crate) async fn handle(node: &Arc<Node>, call: &Call, method: &Method, body: &[u8]) -> Reply {
     let Some(now) = node.contact.in_force(node.oldest_contact_ms(now_ms())) else {
         return Reply::refused(
-            StatusCode::SERVICE_UNAVAILABLE,
             Counter::RefusedNoConfiguration,
             "the configuration was not confirmed lately",
         );
     };
     let Some((queue, rest)) = now.configuration.find_queue(&call.host, &call.path) else {
-        return Reply::refused(
-            StatusCode::NOT_FOUND,
-            Counter::RefusedNoQueue,
-            "no queue has that host and path",
-        );
+        return Reply::refused(Counter::RefusedNoQueue, "no queue has that host and path");
     };
     if let Err(Denied::UnknownKey | Denied::NoQueue) =
         now.configuration.admit_caller(queue, call.key.as_deref())
     {
-        return Reply::refused(
-            StatusCode::UNAUTHORIZED,
-            Counter::RefusedKey,
-            "the key is not known",
-        );
+        return Reply::refused(Counter::RefusedKey, "the key is not known");
     }
     if rest.is_empty() && method == Method::GET {
         return count_waiting(node, &queue.name, call).await;
     }
     let Ok(id) = rest.parse::<JobId>() else {
         let detail = "a job's id is 16 lower-case hexadecimal digits";
-        return Reply::refused(StatusCode::BAD_REQUEST, Counter::RefusedMalformed, detail);
+        return Reply::refused(Counter::RefusedMalformed, detail);
     };
     match *method {
         Method::POST => accept_job(node, call, id, body).await,
         Method::GET => read_state(node, call, id).await,
         Method::DELETE => cancel_job(node, call, id).await,
-        _ => Reply::refused(
-            StatusCode::METHOD_NOT_ALLOWED,
-            Counter::RefusedMalformed,
-            "GET, POST or DELETE",
-        ),
+        _ => Reply::refused(Counter::RefusedMethod, "GET, POST or DELETE"),
     }
 }
 
@@ -218,40 +190,6 @@
     node.log.request("intake", what, id, &fields);
 }
 
-fn respond(reply: Reply) -> Response {
-    let json = Response::builder().content_type("application/json");
-    match reply {
-        Reply::State(state) => json.status(StatusCode::OK).body(encode_state(state)),
-        Reply::Waiting(count) => json.status(StatusCode::OK).body(encode_waiting(count)),
-        Reply::Gone => {
-            json.status(StatusCode::GONE)
-                .body(refusal_body("refused", "no_such_job", ""))
-        }
-        Reply::Refused {
-            status,
-            reason,
-            detail,
-        } => {
-            let json = match status {
-                StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
-                    json.header("retry-after", RETRY_AFTER_S.to_string())
-                }
-                _ => json,
-            };
-            json.status(status)
-                .body(refusal_body("refused", reason.into(), &detail))
-        }
-        Reply::OutcomeUnknown => {
-            let detail = "the job may have been accepted; come back with the same id";
-            json.status(StatusCode::GATEWAY_TIMEOUT).body(refusal_body(
-                "outcome_unknown",
-                "store_silent",
-                detail,
-            ))
-        }
-    }
-}
-
 /// Tells the balancer whether to send new callers.
 pub(crate) struct Readiness(pub Arc<Node>);
 
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -45,6 +45,7 @@
     callers: String,
     readiness: String,
     metrics: String,
+    peers: Option<String>,
 }
 
 #[derive(Debug, Default, Deserialize)]
@@ -103,6 +104,8 @@
     pub readiness: SocketAddrV4,
     /// Where its metrics are read.
     pub metrics: SocketAddrV4,
+    /// Where it takes calls that its peers pass on, if it does.
+    pub peers: Option<SocketAddrV4>,
     /// The platform's store.
     pub store: SocketAddrV4,
     /// The shortest lease of the store.
@@ -160,6 +163,12 @@
             callers: address("listen.callers", &raw.listen.callers),
             readiness: address("listen.readiness", &raw.listen.readiness),
             metrics: address("listen.metrics", &raw.listen.metrics),
+            peers: raw
+                .listen
+                .peers
+                .as_deref()
+                .filter(|a| !a.is_empty())
+                .map(|a| address("listen.peers", a)),
             store: address("store.address", &raw.store.address),
             machines: raw
                 .machines
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -92,12 +92,18 @@
 
     /// Starts another node, and waits until it is ready.
     pub async fn add_node(&mut self) -> usize {
+        self.add_node_at(self.store.address()).await
+    }
+
+    /// Starts another node that reaches the store at an address of its own, and waits until it is ready.
+    pub async fn add_node_at(&mut self, store: SocketAddr) -> usize {
         let (callers, readiness, metrics) = (free_address(), free_address(), free_address());
+        let peers = free_address();
         let name = format!("node-{}", self.nodes.len());
         let text = json!({
             "node": {"name": name, "data_centre": "gyor", "region": "dunantul"},
-            "listen": {"callers": callers, "readiness": readiness, "metrics": metrics},
-            "store": {"address": self.store.address(), "shortest_lease_ms": 100},
+            "listen": {"callers": callers, "readiness": readiness, "metrics": metrics, "peers": peers},
+            "store": {"address": store, "shortest_lease_ms": 100},
             "orders": "rpc",
         });
         let settings = Settings::parse("test", &text.to_string()).unwrap();
