Let a planner give way whose writes get no answer

After 4 s of unanswered writes under a valid lead it ends its term and stays out of the next election for 3 s. Test planner_whose_writes_get_no_answer_gives_way failed before.

--- a/crates/control/src/flush.rs
+++ b/crates/control/src/flush.rs
@@ -14,6 +14,10 @@
 /// How long a write may take before it is made again on a new connection.
 const CALL_TIMEOUT_MS: u64 = 900;
 
+/// A planner whose writes get no answer for this long while its lead is renewed gives way: longer than a store that is
+/// 80 times slower than usual takes for several tries.
+const GIVE_WAY_MS: u64 = 4_000;
+
 /// The pause before a write is made again.
 const RETRY_PAUSE_MS: u64 = 50;
 
@@ -23,6 +27,9 @@
 /// Records of ended jobs that go in one write at most, so that a backlog does not delay other writes.
 const MOST_REMOVALS: usize = 8;
 
+/// Why a planner gives way that can renew its lead and cannot write.
+pub(crate) const UNANSWERED_WRITES: &str = "writes get no answer";
+
 /// Writes in order, one after the other.
 #[derive(Debug)]
 pub(crate) struct Flusher {
@@ -138,6 +145,7 @@
         }
         let node = &term.node;
         let mut fresh = false;
+        let began_ms = now_ms();
         loop {
             let sent_ms = now_ms();
             node.metrics.count(Counter::StoreCalls);
@@ -173,6 +181,9 @@
                 Err(CallError::NotDone(_)) => node.metrics.count(Counter::StoreRetriesNotDone),
                 Err(_) => node.metrics.count(Counter::StoreRetriesUnknown),
             }
+            if term.may_start() && now_ms() > began_ms + GIVE_WAY_MS {
+                return Err(UNANSWERED_WRITES.to_string());
+            }
             fresh = true;
             tokio::time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
         }
--- a/crates/control/src/lead.rs
+++ b/crates/control/src/lead.rs
@@ -10,6 +10,7 @@
 use serde_json::Value;
 
 use crate::clock::now_ms;
+use crate::flush::UNANSWERED_WRITES;
 use crate::keys;
 use crate::metrics::Counter;
 use crate::node::Node;
@@ -41,6 +42,10 @@
 /// come first.
 const DISTANCE_FACTOR: u64 = 5;
 
+/// How long a node does not take the lead after its writes got no answer: its lease runs out meanwhile, and another
+/// node takes over.
+const ABSTAIN_MS: u64 = 3_000;
+
 /// The longest such wait.
 const LONGEST_DISTANCE_WAIT_MS: u64 = 300;
 
@@ -77,8 +82,14 @@
                 let why = run_term(node.clone(), lead).await;
                 hold_lease(&node, None);
                 node.metrics.count(Counter::LeadsLost);
-                let fields = [("term", Value::from(lead.term)), ("why", Value::from(why))];
+                let fields = [
+                    ("term", Value::from(lead.term)),
+                    ("why", Value::from(why.as_str())),
+                ];
                 node.log.general("lead", "lost", &fields);
+                if why == UNANSWERED_WRITES {
+                    tokio::time::sleep(Duration::from_millis(ABSTAIN_MS)).await;
+                }
             }
             Ok(None) => {}
             Err(_) => tokio::time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await,
--- a/crates/control/tests/passing.rs
+++ b/crates/control/tests/passing.rs
@@ -13,6 +13,10 @@
 /// A site of two nodes that know each other; the second one reaches the store through a door of its own.
 async fn site_with_door() -> (Site, StoreDoor, usize) {
     let mut site = Site::start(1, LONG).await;
+    site.wait("the first node plans", async |site| {
+        !site.store.keys("lead/").is_empty()
+    })
+    .await;
     let door = site.store.open_door().await.unwrap();
     let cut = site.add_node_at(door.address()).await;
     site.wait("both are listed", async |site| {
--- a/crates/control/tests/recovery.rs
+++ b/crates/control/tests/recovery.rs
@@ -161,3 +161,25 @@
     })
     .await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn planner_whose_writes_get_no_answer_gives_way() {
+    let mut site = Site::start(1, LONG).await;
+    site.wait("the first node plans", async |site| {
+        !site.store.keys("lead/").is_empty()
+    })
+    .await;
+    let door = site.store.open_door().await.unwrap();
+    let cut = site.add_node_at(door.address()).await;
+    site.nodes[0].kill();
+    site.wait("the second node plans", async |site| {
+        site.submit(cut, 1, 1).await == 200 && site.audit.running() == 1
+    })
+    .await;
+    let whole = site.add_node().await;
+    door.set_fault(StoreFault::LosesAnswers);
+    assert_eq!(site.submit(whole, 2, 2).await, 200);
+    site.wait("another node plans", async |site| site.audit.running() == 3)
+        .await;
+    assert_eq!(site.audit.wrong(), Vec::<String>::new());
+}
