Let a later planner ask workers that no list names any more

Records now name a worker with its address and whether it leaves: the successor asks it there, and drops it at once if it had said that it leaves and refuses calls. A planner that lost its lead renews leases for 4 s instead of 12 (with the lease itself an outage of 13 s is bridged), so what a silent worker may hold is given up after 15 s instead of 23. A deposed planner no longer waits for its write to end. Tests take_over_unlisted_worker_that_answers, take_over_unlisted_worker_that_refuses_calls.

--- a/crates/control/src/flush.rs
+++ b/crates/control/src/flush.rs
@@ -30,6 +30,9 @@
 /// Why a planner gives way that can renew its lead and cannot write.
 pub(crate) const UNANSWERED_WRITES: &str = "writes get no answer";
 
+/// Why a planner ends that a worker refused.
+pub(crate) const LATER_TERM: &str = "a worker has seen a later term";
+
 /// Writes in order, one after the other.
 #[derive(Debug)]
 pub(crate) struct Flusher {
@@ -181,6 +184,9 @@
                 Err(CallError::NotDone(_)) => node.metrics.count(Counter::StoreRetriesNotDone),
                 Err(_) => node.metrics.count(Counter::StoreRetriesUnknown),
             }
+            if term.planner().is_deposed() {
+                return Err(LATER_TERM.to_string());
+            }
             if term.may_start() && now_ms() > began_ms + GIVE_WAY_MS {
                 return Err(UNANSWERED_WRITES.to_string());
             }
--- a/crates/control/src/takeover.rs
+++ b/crates/control/src/takeover.rs
@@ -33,8 +33,9 @@
     if let Some(now) = node.contact.latest() {
         planner.set_configuration(&now.configuration);
     }
-    let added = planner.list_workers(listing, now_ms());
+    let mut added = planner.list_workers(listing, now_ms());
     let ended = restore_jobs(&mut planner, node, &requests, &records);
+    added.extend(planner.take_unpolled());
     let mut flusher = Flusher::new(chain.map_or(0, |item| item.revision));
     flusher.note_ended(ended);
     *term.planner() = planner;
--- a/crates/control/src/term.rs
+++ b/crates/control/src/term.rs
@@ -10,7 +10,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::clock::{now_ms, unix_ms};
-use crate::flush::Flusher;
+use crate::flush::{Flusher, LATER_TERM};
 use crate::follow::follow_requests;
 use crate::lead::{LEASE_MARGIN_MS, Lead, RENEW_EVERY_MS, RENEW_TIMEOUT_MS, lead_ttl_ms};
 use crate::listing::follow_workers;
@@ -20,8 +20,9 @@
 use crate::takeover::load;
 
 /// How long a planner that cannot renew its lead goes on renewing workers' leases, so that an outage of the store
-/// kills nothing; longer than the longest outage that the users' pages list.
-pub(crate) const HOLDS_ON_MS: u64 = 12_000;
+/// kills nothing: with the lease itself, and the lead before, an outage of 13 s is bridged, and the longest that the
+/// users' pages list has 9 s. A successor waits that much longer before it gives up a worker that does not answer.
+pub(crate) const HOLDS_ON_MS: u64 = 4_000;
 
 /// Kept free of the longest lease that a worker grants.
 const LEASE_BELOW_LONGEST_MS: u64 = 500;
@@ -206,7 +207,7 @@
         };
         report(term);
         if term.planner().is_deposed() {
-            return "a worker has seen a later term".to_string();
+            return LATER_TERM.to_string();
         }
         dispatch_orders(term);
         if flush.is_empty() {
--- a/crates/scheduler/src/events.rs
+++ b/crates/scheduler/src/events.rs
@@ -48,14 +48,18 @@
             named.insert(key);
         }
         self.note_unlisted(&named, now_ms);
+        self.take_unpolled()
+    }
+
+    /// Workers whose leases have to be renewed from now on: those that are listed, and those that an earlier planner
+    /// used and that may live on where they were.
+    pub fn take_unpolled(&mut self) -> Vec<WorkerKey> {
         let mut added = Vec::new();
-        for (key, worker) in self
-            .workers
-            .iter_mut()
-            .filter(|(_, w)| w.listed && !w.polled)
-        {
-            worker.polled = true;
-            added.push(key);
+        for (key, worker) in &mut self.workers {
+            if !worker.polled && !worker.entry.address.is_empty() {
+                worker.polled = true;
+                added.push(key);
+            }
         }
         added
     }
@@ -88,14 +92,30 @@
         if !worker.listed || worker.entry.leaving != entry.leaving {
             self.changed = true;
             let why = format!("worker {} listed, leaving: {}", entry.id, entry.leaving);
+            let leaves = entry.leaving && !worker.entry.leaving;
             worker.listed = true;
             worker.entry = entry;
             self.decide(None, "worker state", why);
+            if leaves {
+                self.store_leaving(key);
+            }
         } else {
             worker.entry = entry;
         }
     }
 
+    /// Has the records say that a worker leaves: a later planner, which may find it gone, knows then that it has left.
+    fn store_leaving(&mut self, key: WorkerKey) {
+        let jobs: HashSet<_> = self.workers[key]
+            .units
+            .keys()
+            .map(|u| u.group.job)
+            .collect();
+        for job in jobs {
+            self.mark_dirty(job);
+        }
+    }
+
     /// Notes which workers the newest listing no longer names, and forgets idle ones.
     fn note_unlisted(&mut self, named: &HashSet<WorkerKey>, now_ms: u64) {
         let missing: Vec<WorkerKey> = self
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::group::{Group, Phase};
-use crate::record::{GroupRecord, JobRecord, StoredJob, UnitRecord};
+use crate::record::{GroupRecord, JobRecord, StoredJob, StoredWorker, UnitRecord};
 use crate::spec::{Need, StepSpec};
 use crate::task::TaskName;
 
@@ -177,8 +177,11 @@
         )
     }
 
-    /// Its record for the store; `names` gives a worker's stored name.
-    pub fn record(&self, name: impl Fn(crate::worker::WorkerKey) -> Option<String>) -> JobRecord {
+    /// Its record for the store; `name` gives a worker as it is stored.
+    pub fn record(
+        &self,
+        name: impl Fn(crate::worker::WorkerKey) -> Option<StoredWorker>,
+    ) -> JobRecord {
         let groups = match self.state.is_final() && !self.takes_room() {
             true => Vec::new(),
             false => self
@@ -200,7 +203,7 @@
 /// One group's part of a record.
 fn group_record(
     group: &Group,
-    name: &impl Fn(crate::worker::WorkerKey) -> Option<String>,
+    name: &impl Fn(crate::worker::WorkerKey) -> Option<StoredWorker>,
 ) -> GroupRecord {
     let units = group
         .units
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -33,7 +33,7 @@
 pub use job::JobState;
 pub use orders::{AdviceAnswer, Flush, Order, RecordWrite, StartOutcome, StopOutcome};
 pub use planner::{Decision, Limits, Planner, RunCounts};
-pub use record::{GroupRecord, JobRecord, StoredJob, UnitRecord};
+pub use record::{GroupRecord, JobRecord, StoredJob, StoredWorker, UnitRecord};
 pub use spec::{JobRequest, Need, SpecError, StepSpec, Timing};
 pub use task::{JobId, NameError, TaskName};
 pub use upkeep::{Machine, UpkeepOutcome, UpkeepWave, WaveProgress};
--- a/crates/scheduler/src/load.rs
+++ b/crates/scheduler/src/load.rs
@@ -3,7 +3,7 @@
 use crate::group::{GroupKey, JobKey, Phase, UnitKey};
 use crate::job::JobState;
 use crate::planner::Planner;
-use crate::record::{GroupRecord, JobRecord, StoredJob};
+use crate::record::{GroupRecord, JobRecord, StoredJob, StoredWorker};
 use crate::spec::Need;
 use crate::worker::{WorkerEntry, WorkerKey};
 
@@ -78,7 +78,7 @@
             };
             let worker = unit
                 .worker
-                .as_deref()
+                .as_ref()
                 .and_then(|name| self.find_or_suppose_worker(name, now_ms));
             if let Some(at) = self.unit_mut(key) {
                 at.run = unit.run;
@@ -123,27 +123,32 @@
         }
     }
 
-    /// The life of a worker that the store names; one that is not listed is supposed to live on, silently.
-    fn find_or_suppose_worker(&mut self, name: &str, now_ms: u64) -> Option<WorkerKey> {
-        if let Some((key, _)) = self.workers.iter().find(|(_, w)| w.stored_name() == name) {
-            return Some(key);
+    /// The life of a worker that the store names; one that is not listed is supposed to live on where it was.
+    fn find_or_suppose_worker(&mut self, stored: &StoredWorker, now_ms: u64) -> Option<WorkerKey> {
+        if let Some(key) = self.by_id.get(&stored.id).copied() {
+            let born_unix_ms = self.workers[key].entry.born_unix_ms;
+            if born_unix_ms == stored.born_unix_ms {
+                return Some(key);
+            }
+            if born_unix_ms > stored.born_unix_ms {
+                return None;
+            }
         }
-        let (id, born) = name.rsplit_once('@')?;
-        let born_unix_ms = born.parse().ok()?;
-        let newer = self
-            .by_id
-            .get(id)
-            .is_some_and(|key| self.workers[*key].entry.born_unix_ms > born_unix_ms);
-        if newer {
+        let replaced = self.workers.values().any(|w| {
+            !stored.address.is_empty()
+                && w.entry.address == stored.address
+                && w.entry.born_unix_ms > stored.born_unix_ms
+        });
+        if replaced {
             return None;
         }
         let entry = WorkerEntry {
-            id: id.to_string(),
-            born_unix_ms,
-            address: String::new(),
+            id: stored.id.clone(),
+            born_unix_ms: stored.born_unix_ms,
+            address: stored.address.clone(),
             service: String::new(),
             data_centre: String::new(),
-            leaving: false,
+            leaving: stored.leaving,
             remaining_ms: None,
             capacity: Need::default(),
             labels: Vec::new(),
--- a/crates/scheduler/src/planner.rs
+++ b/crates/scheduler/src/planner.rs
@@ -186,7 +186,7 @@
                 job.ended_unix_ms = unix_ms;
             }
             job.over = job.state.is_final() && !job.takes_room();
-            let record = job.record(|w| workers.get(w).map(Worker::stored_name));
+            let record = job.record(|w| workers.get(w).map(Worker::stored));
             let begun = job.state != crate::JobState::Pending;
             writes.push(RecordWrite {
                 job: job.stored.id,
--- a/crates/scheduler/src/record.rs
+++ b/crates/scheduler/src/record.rs
@@ -74,10 +74,25 @@
     pub failed: u32,
     /// Whether it has ended as done.
     pub done: bool,
-    /// The worker that may be running it, as `ID@BORN`.
+    /// The worker that may be running it.
     #[serde(skip_serializing_if = "Option::is_none")]
-    pub worker: Option<String>,
+    pub worker: Option<StoredWorker>,
     /// The last progress known to be saved.
     #[serde(skip_serializing_if = "String::is_empty")]
     pub progress: String,
 }
+
+/// One life of a worker, as far as a later planner needs it to ask what runs there.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct StoredWorker {
+    /// Its id; may serve several lives.
+    pub id: String,
+    /// When this life began, in Unix milliseconds.
+    pub born_unix_ms: u64,
+    /// Where it takes orders, as `IP:PORT`.
+    pub address: String,
+    /// Whether it had said that it leaves.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub leaving: bool,
+}
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -6,6 +6,7 @@
 
 use crate::group::UnitKey;
 use crate::health::Health;
+use crate::record::StoredWorker;
 use crate::spec::Need;
 use crate::task::TaskName;
 
@@ -214,12 +215,12 @@
     }
 
     /// How the store names this life.
-    pub fn stored_name(&self) -> String {
-        stored_name(&self.entry.id, self.entry.born_unix_ms)
+    pub fn stored(&self) -> StoredWorker {
+        StoredWorker {
+            id: self.entry.id.clone(),
+            born_unix_ms: self.entry.born_unix_ms,
+            address: self.entry.address.clone(),
+            leaving: self.entry.leaving,
+        }
     }
 }
-
-/// How the store names a life of a worker.
-pub(crate) fn stored_name(id: &str, born_unix_ms: u64) -> String {
-    format!("{id}@{born_unix_ms}")
-}
--- a/crates/scheduler/tests/takeover.rs
+++ b/crates/scheduler/tests/takeover.rs
@@ -76,6 +76,71 @@
     );
 }
 
+/// The unlisted worker that the predecessor used, as the successor asks it.
+fn ask_unlisted(bench: &mut Bench) -> usize {
+    let asked = bench.planner.take_unpolled();
+    assert_eq!(asked.len(), 1, "it is asked, though no list names it");
+    bench.workers.extend(asked);
+    bench.workers.len() - 1
+}
+
+#[test]
+fn take_over_unlisted_worker_that_answers() {
+    let mut bench = successor(false);
+    let unlisted = ask_unlisted(&mut bench);
+    let entry = bench.planner.entry(bench.workers[unlisted]).unwrap();
+    assert_eq!(entry.address, "10.0.0.0:80");
+    bench.report(unlisted, vec![first_task()], vec![]);
+    bench.now_ms += 60_000;
+    for at in 0..bench.workers.len() {
+        let running = if at == unlisted {
+            vec![first_task()]
+        } else {
+            vec![]
+        };
+        bench.report(at, running, vec![]);
+    }
+    assert!(starts(&bench.plan()).is_empty(), "its task goes on");
+}
+
+#[rstest]
+#[case::had_said_that_it_leaves(true, 1)]
+#[case::may_be_cut_off(false, 0)]
+fn take_over_unlisted_worker_that_refuses_calls(#[case] leaving: bool, #[case] started: usize) {
+    let mut before = Bench::with_workers(1);
+    let stored = job(1, 1, vec![step(1, 1)]);
+    before.planner.add_job(stored.clone(), 1, before.now_ms);
+    before.start_all();
+    before.list(vec![WorkerEntry {
+        leaving,
+        ..entry(0)
+    }]);
+    before
+        .planner
+        .add_job(job(2, 1, vec![step(1, 1)]), 2, before.now_ms);
+    let (_, flush) = before.plan_without_store();
+    let record = flush.writes.iter().find(|w| w.job == stored.id);
+    let (_, first_record) = left_by_predecessor();
+    let record = record.map_or(first_record, |w| w.record.clone());
+
+    let mut bench = Bench {
+        planner: Planner::new(limits(), 20_000),
+        now_ms: 20_000,
+        workers: Vec::new(),
+    };
+    bench.list(vec![entry(1)]);
+    bench
+        .planner
+        .restore_job(stored, Some(record), 1, bench.now_ms);
+    bench.report(0, vec![], vec![]);
+    let unlisted = ask_unlisted(&mut bench);
+    bench.planner.note_silence(bench.workers[unlisted], true);
+    bench.now_ms += 800;
+    bench.list(vec![entry(1)]);
+    bench.report(0, vec![], vec![]);
+    assert_eq!(starts(&bench.plan()).len(), started);
+}
+
 #[test]
 fn take_over_two_silent_workers() {
     let mut first = job(1, 1, vec![step(2, 8)]);
