Trial: let the lowest priority heed kept room longer, and end claims with their stops

Cause: urgent groups waited up to 2.5 s for room on workers whose stops got no answer; shelf-sim was always in time while batch-blend was not.

--- a/crates/scheduler/src/claims.rs
+++ b/crates/scheduler/src/claims.rs
@@ -7,8 +7,8 @@
 use crate::spec::Need;
 use crate::worker::WorkerKey;
 
-/// A claim whose room is not free after this long is given up: a stop takes under a second everywhere.
-const LONGEST_CLAIM_MS: u64 = 2_500;
+/// A claim whose room is not free this long after its stops must have ended is given up, and made anew elsewhere.
+const CLAIM_MARGIN_MS: u64 = 500;
 
 impl Planner {
     /// Promises room on workers to a group.
@@ -79,7 +79,10 @@
                 .get(*w)
                 .is_some_and(|w| self.is_usable(w, now_ms))
         });
-        if !waits || !usable || now_ms > claim.since_ms + LONGEST_CLAIM_MS {
+        if !waits
+            || !usable
+            || now_ms > claim.since_ms + self.limits.stop_grace_ms + CLAIM_MARGIN_MS
+        {
             self.drop_claim(group);
             return;
         }
--- a/crates/scheduler/src/headroom.rs
+++ b/crates/scheduler/src/headroom.rs
@@ -26,9 +26,13 @@
 /// The size kept for is the one that this share of the groups does not exceed, in hundredths.
 const SIZE_PERCENT: usize = 75;
 
-/// Other work heeds the room kept for this share of the time that it can wait and still be on time, in hundredths.
+/// Work of the second priority heeds the room kept for this share of the time that it can wait and still be on time, in
+/// hundredths.
 const HEED_PERCENT: u64 = 40;
 
+/// The same for work of lower priorities, which counts least when it is late.
+const LOWEST_HEED_PERCENT: u64 = 90;
+
 /// An urgent group that came lately.
 #[derive(Debug, Clone)]
 pub(crate) struct UrgentArrival {
@@ -115,7 +119,11 @@
         let slack_ms = estimate_ms * u64::from(job.stored.stretch_percent.saturating_sub(100))
             / 100
             + job.stored.goal_ms;
-        waited_ms > slack_ms * HEED_PERCENT / 100
+        let heed_percent = match job.stored.priority {
+            0 | 1 => HEED_PERCENT,
+            _ => LOWEST_HEED_PERCENT,
+        };
+        waited_ms > slack_ms * heed_percent / 100
     }
 }
 
