Serve the product's own interface to jobs over the platform's path

/v1/jobs on a node of hemlockd serve: class names the queue, the bearer token is an organisation's key, a job becomes a job of one step, a ticket decides its identifier. Jobs of other organisations are not shown; records name the organisation for that. What a call is about, and whether it may be made, is now checked in one place (call.rs). Console, declarations and tickets of hemlockd run have not moved.

--- /dev/null
+++ b/crates/control/src/call.rs
@@ -0,0 +1,107 @@
+//! A caller's call: who makes it, for which queue, and whether it may be made.
+
+use scheduler::{Configuration, Queue};
+use serde::{Deserialize, Serialize};
+
+use crate::metrics::Counter;
+use crate::reply::Reply;
+
+/// What a call is about.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) enum Target {
+    /// The queue of a host and path; what follows the queue's path is the job's identifier.
+    Path { host: String, path: String },
+    /// The queue that is named like a class of work, for one organisation.
+    Class { class: String, organisation: String },
+    /// A job of the caller's organisation, whatever its queue.
+    OwnJob { id: String },
+}
+
+impl Target {
+    /// The last part of the path, for the log.
+    pub fn last_part(&self) -> &str {
+        match self {
+            Target::Path { path, .. } => path.rsplit('/').next().unwrap_or_default(),
+            Target::Class { .. } => "",
+            Target::OwnJob { id } => id,
+        }
+    }
+
+    /// The path, or the class, for the log.
+    pub fn name(&self) -> &str {
+        match self {
+            Target::Path { path, .. } => path,
+            Target::Class { class, .. } => class,
+            Target::OwnJob { id } => id,
+        }
+    }
+}
+
+/// One call, as far as it has been understood.
+#[derive(Debug, Clone)]
+pub(crate) struct Call {
+    /// When it arrived.
+    pub arrived_ms: u64,
+    /// When its answer has to leave.
+    pub answer_by_ms: u64,
+    /// The caller's key.
+    pub key: Option<String>,
+    /// What it is about.
+    pub target: Target,
+}
+
+/// A call that may be made.
+#[derive(Debug)]
+pub(crate) struct Admitted<'c> {
+    /// The queue that it is for; none for a call about a job of whatever queue.
+    pub queue: Option<&'c Queue>,
+    /// Who calls: an organisation, or empty for a public queue without a known key.
+    pub organisation: String,
+    /// What follows the queue's path.
+    pub rest: &'c str,
+}
+
+/// Checks a call against a configuration.
+pub(crate) fn admit<'c>(
+    configuration: &'c Configuration,
+    call: &'c Call,
+) -> Result<Admitted<'c>, Reply> {
+    let key = call.key.as_deref();
+    let unknown_key = || Reply::refused(Counter::RefusedKey, "the key is not known");
+    let (queue, rest) = match &call.target {
+        Target::Path { host, path } => configuration
+            .find_queue(host, path)
+            .ok_or("no queue has that host and path"),
+        Target::Class { class, .. } => configuration
+            .find_queue_by_name(class)
+            .map(|queue| (queue, ""))
+            .ok_or("no queue has the name of that class"),
+        Target::OwnJob { .. } => {
+            let organisation = key.and_then(|key| configuration.find_organisation(key));
+            let organisation = organisation.ok_or_else(unknown_key)?.name.clone();
+            return Ok(Admitted {
+                queue: None,
+                organisation,
+                rest: "",
+            });
+        }
+    }
+    .map_err(|detail| Reply::refused(Counter::RefusedNoQueue, detail))?;
+    let organisation = configuration
+        .admit_caller(queue, key)
+        .map_err(|_| unknown_key())?;
+    if let Target::Class {
+        organisation: named,
+        ..
+    } = &call.target
+        && *named != organisation
+    {
+        let detail = format!("this token does not act for {named}");
+        return Err(Reply::refused(Counter::RefusedKey, detail));
+    }
+    Ok(Admitted {
+        queue: Some(queue),
+        organisation,
+        rest,
+    })
+}
--- a/crates/control/src/intake.rs
+++ b/crates/control/src/intake.rs
@@ -7,6 +7,7 @@
 use scheduler::{JobId, JobRequest, JobState, StoredJob};
 use serde_json::Value;
 
+use crate::call::{Call, admit};
 use crate::clock::now_ms;
 use crate::configuration::take;
 use crate::contact::InForce;
@@ -14,7 +15,6 @@
 use crate::metrics::{Counter, Timing};
 use crate::node::Node;
 use crate::reply::Reply;
-use crate::requests::Call;
 
 /// The pause before a call is made again that the store did not carry out.
 pub(crate) const RETRY_PAUSE_MS: u64 = 40;
@@ -61,13 +61,23 @@
             return Reply::refused(Counter::RefusedMalformed, e.to_string());
         }
     };
+    accept_request(node, call, id, &request).await
+}
+
+/// Takes in a job that was read and checked.
+pub(crate) async fn accept_request(
+    node: &Arc<Node>,
+    call: &Call,
+    id: JobId,
+    request: &JobRequest,
+) -> Reply {
     let mut tries = Tries::default();
     loop {
         let Some(now) = node.contact.latest() else {
             let detail = "no configuration is known";
             return Reply::refused(Counter::RefusedNoConfiguration, detail);
         };
-        let txn = match build_txn(&now, call, id, &request) {
+        let txn = match build_txn(&now, call, id, request) {
             Ok(txn) => txn,
             Err(reply) => return reply,
         };
@@ -113,17 +123,14 @@
 
 /// The write that accepts a job; checks the caller against the configuration that is its condition.
 fn build_txn(now: &InForce, call: &Call, id: JobId, request: &JobRequest) -> Result<Txn, Reply> {
-    let Some((queue, _)) = now.configuration.find_queue(&call.host, &call.path) else {
-        let detail = "no queue has that host and path";
-        return Err(Reply::refused(Counter::RefusedNoQueue, detail));
-    };
-    let Ok(organisation) = now.configuration.admit_caller(queue, call.key.as_deref()) else {
-        return Err(Reply::refused(Counter::RefusedKey, "the key is not known"));
+    let admitted = admit(&now.configuration, call)?;
+    let Some(queue) = admitted.queue else {
+        return Err(Reply::refused(Counter::RefusedNoQueue, "no queue is named"));
     };
     let stored = StoredJob {
         id,
         queue: queue.name.clone(),
-        organisation,
+        organisation: admitted.organisation,
         service: queue.service.clone(),
         priority: queue.priority,
         attempts: queue.attempts,
--- a/crates/control/src/job_calls.rs
+++ b/crates/control/src/job_calls.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use adapter::{CONFIGURATION_KEY, Item, Precondition, Put, Txn, TxnOutcome};
-use scheduler::{JobId, JobRecord, JobState};
+use scheduler::{JobId, JobRecord, JobState, StoredJob};
 use serde_json::Value;
 
+use crate::call::{Call, admit};
 use crate::clock::now_ms;
 use crate::configuration::take;
 use crate::intake::{RETRY_PAUSE_MS, Tries, change_store, patience};
@@ -15,7 +16,6 @@
 use crate::metrics::Counter;
 use crate::node::Node;
 use crate::reply::Reply;
-use crate::requests::Call;
 
 /// How old the counts of waiting jobs may be; the platform allows 2 s.
 const WAITING_FRESH_MS: u64 = 900;
@@ -56,8 +56,8 @@
     }
 }
 
-/// A job's state as its record says; none if the record cannot be read.
-fn state_of(node: &Node, id: JobId, item: &Item) -> Result<JobState, Reply> {
+/// A job's record; a refusal if it cannot be read.
+fn record_of(node: &Node, id: JobId, item: &Item) -> Result<JobRecord, Reply> {
     let record: JobRecord = serde_json::from_slice(&item.value).map_err(|e| {
         let fields = [
             ("key", Value::from(item.key.as_str())),
@@ -70,7 +70,7 @@
     if record.state.is_final() {
         node.remember_final(id, record.state);
     }
-    Ok(record.state)
+    Ok(record)
 }
 
 /// Answers for a job's state.
@@ -86,20 +86,44 @@
     if let Some(state) = node.known_final(id) {
         return Ok(Some(state));
     }
+    let record = find_record(node, call, id).await?;
+    Ok(record.map(|record| record.state))
+}
+
+/// How far a job has come; none if there is no such job.
+pub(crate) async fn find_record(
+    node: &Node,
+    call: &Call,
+    id: JobId,
+) -> Result<Option<JobRecord>, Reply> {
     let record = keys::record(id);
     if let Some(item) = read_item(node, call, &record).await? {
-        return state_of(node, id, &item).map(Some);
+        return record_of(node, id, &item).map(Some);
     }
-    if read_item(node, call, &keys::job(id)).await?.is_some() {
-        return Ok(Some(JobState::Pending));
+    if let Some(item) = read_item(node, call, &keys::job(id)).await? {
+        return Ok(Some(pending_record(&item)));
     }
     // The job may have begun and ended between the two reads: then there is a record now.
     match read_item(node, call, &record).await? {
-        Some(item) => state_of(node, id, &item).map(Some),
+        Some(item) => record_of(node, id, &item).map(Some),
         None => Ok(None),
     }
 }
 
+/// The record of a job that the planner has not written about yet.
+fn pending_record(item: &Item) -> JobRecord {
+    let stored = serde_json::from_slice::<StoredJob>(&item.value).ok();
+    JobRecord {
+        state: JobState::Pending,
+        queue: stored
+            .as_ref()
+            .map_or_else(String::new, |job| job.queue.clone()),
+        organisation: stored.map_or_else(String::new, |job| job.organisation),
+        ended_unix_ms: 0,
+        groups: Vec::new(),
+    }
+}
+
 /// Cancels a job.
 pub(crate) async fn cancel_job(node: &Arc<Node>, call: &Call, id: JobId) -> Reply {
     match try_cancel(node, call, id).await {
@@ -116,17 +140,7 @@
         let Some(now) = node.contact.latest() else {
             return Err(tries.give_up("no configuration is known"));
         };
-        let allowed = now
-            .configuration
-            .find_queue(&call.host, &call.path)
-            .is_some_and(|(queue, _)| {
-                now.configuration
-                    .admit_caller(queue, call.key.as_deref())
-                    .is_ok()
-            });
-        if !allowed {
-            return Err(Reply::refused(Counter::RefusedKey, "the key is not known"));
-        }
+        admit(&now.configuration, call)?;
         let Some(job) = read_item(node, call, &keys::job(id)).await? else {
             let state = find_state(node, call, id).await?;
             return Ok(state.map_or(Reply::Gone, Reply::State));
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`serve`] runs a node until it is stopped. What lasts is kept in the platform's store under the keys of [`keys`];
 //! the decisions are those of the `scheduler` package.
 
+mod call;
 mod clock;
 mod configuration;
 mod contact;
@@ -18,6 +19,7 @@
 mod metrics;
 mod node;
 mod orders;
+mod own;
 mod peers;
 mod reply;
 mod requests;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -20,6 +20,7 @@
 use crate::lead::{campaign, release_lead};
 use crate::log::Log;
 use crate::metrics::Metrics;
+use crate::own::OwnInterface;
 use crate::peers::{PeerList, follow_peers, serve_peers};
 use crate::requests::{Front, MetricsPage, Readiness};
 use crate::settings::Settings;
@@ -183,7 +184,9 @@
         Server::new(TcpListener::bind(node.settings.metrics)).run(MetricsPage(node.clone())),
     );
     let peers = serve_peers_if_asked(&node);
+    let own = serve_own_if_asked(&node);
     tokio::select! {
+        result = own => return Ok(result?),
         result = peers => return Ok(result?),
         result = front => return Ok(result.map_err(std::io::Error::other)??),
         result = readiness => return Ok(result.map_err(std::io::Error::other)??),
@@ -198,6 +201,18 @@
     Ok(())
 }
 
+/// Serves the product's own interface, on a node whose settings say where.
+async fn serve_own_if_asked(node: &Arc<Node>) -> std::io::Result<()> {
+    match node.settings.own {
+        Some(address) => {
+            Server::new(TcpListener::bind(address))
+                .run(OwnInterface(node.clone()))
+                .await
+        }
+        None => std::future::pending().await,
+    }
+}
+
 /// Serves peers' calls, on a node whose settings say where.
 async fn serve_peers_if_asked(node: &Arc<Node>) -> std::io::Result<()> {
     match node.settings.peers {
--- /dev/null
+++ b/crates/control/src/own.rs
@@ -0,0 +1,268 @@
+//! The product's own interface to jobs, `/v1/jobs`, over the same path as the platform's callers.
+//!
+//! A job becomes a job of one step; its class names the queue, and its bearer token is an organisation's key. A ticket
+//! decides the job's identifier, so that a second submission with the same ticket is the same job.
+
+use std::sync::Arc;
+
+use model::job::{Adjacency, JobSpec};
+use poem::http::{Method, StatusCode, header};
+use poem::{Endpoint, Request, Response};
+use scheduler::{JobId, JobRecord, JobRequest, JobState, Need, StepSpec, Timing};
+use serde::Serialize;
+use sha2::{Digest, Sha256};
+
+use crate::call::{Call, Target, admit};
+use crate::clock::now_ms;
+use crate::intake::accept_request;
+use crate::job_calls::{cancel_job, find_record};
+use crate::metrics::Counter;
+use crate::node::Node;
+use crate::reply::Reply;
+use crate::requests::{Active, DEFAULT_WAIT_MS, note};
+
+/// Processor time that comes with each accelerator; the own interface asks for accelerators alone.
+const CPU_MILLIS_PER_ACCELERATOR: i64 = 1_000;
+
+/// Memory that comes with each accelerator, in megabytes.
+const MEMORY_MB_PER_ACCELERATOR: i64 = 1_024;
+
+/// The largest body: a job's text and its fields.
+const MOST_BODY_BYTES: usize = 16 * 1024;
+
+/// Where the jobs are.
+const JOBS_PATH: &str = "/v1/jobs";
+
+/// Serves the own interface.
+pub(crate) struct OwnInterface(pub Arc<Node>);
+
+/// What a caller gets for an accepted job.
+#[derive(Debug, Serialize)]
+struct Accepted {
+    job: String,
+    durable: bool,
+}
+
+/// What a caller is told about a job.
+#[derive(Debug, Serialize)]
+struct Status {
+    job: String,
+    state: &'static str,
+    members: Vec<Member>,
+    why: String,
+}
+
+/// A member that holds room on a worker.
+#[derive(Debug, Serialize)]
+struct Member {
+    worker: String,
+}
+
+impl Endpoint for OwnInterface {
+    type Output = Response;
+
+    async fn call(&self, mut request: Request) -> poem::Result<Response> {
+        let node = &self.0;
+        let _active = Active::begin(node);
+        let body = request.take_body().into_bytes_limit(MOST_BODY_BYTES).await;
+        let path = request.uri().path().to_string();
+        let call = Call {
+            arrived_ms: now_ms(),
+            answer_by_ms: now_ms() + DEFAULT_WAIT_MS,
+            key: scan_bearer(&request),
+            target: Target::OwnJob {
+                id: path.rsplit('/').next().unwrap_or_default().to_string(),
+            },
+        };
+        let method = request.method().clone();
+        let (call, reply) = match (body, path.strip_prefix(JOBS_PATH)) {
+            (Ok(body), Some("" | "/")) if method == Method::POST => submit(node, call, &body).await,
+            (Ok(_), Some(rest)) if rest.starts_with('/') => {
+                let reply = ask(node, &call, &method, &rest[1..]).await;
+                (call, reply)
+            }
+            (Err(e), _) => {
+                let reply = Reply::refused(Counter::RefusedTooLarge, e.to_string());
+                (call, Answer::Other(reply))
+            }
+            _ => {
+                let reply = Reply::refused(Counter::RefusedNoQueue, "there is nothing here");
+                (call, Answer::Other(reply))
+            }
+        };
+        Ok(match reply {
+            Answer::Accepted(accepted) => respond(StatusCode::ACCEPTED, &accepted),
+            Answer::Status(status) => respond(StatusCode::OK, &status),
+            Answer::Other(reply) => {
+                note(node, &call, &method, &reply);
+                reply.into_response()
+            }
+        })
+    }
+}
+
+/// What the own interface answers.
+enum Answer {
+    /// The job was taken in.
+    Accepted(Accepted),
+    /// Where a job stands.
+    Status(Status),
+    /// Everything that both interfaces answer alike.
+    Other(Reply),
+}
+
+fn respond(status: StatusCode, body: &impl Serialize) -> Response {
+    Response::builder()
+        .status(status)
+        .content_type("application/json")
+        .body(serde_json::to_string(body).unwrap_or_default())
+}
+
+/// The token of the `Authorization` header.
+fn scan_bearer(request: &Request) -> Option<String> {
+    let text = request
+        .headers()
+        .get(header::AUTHORIZATION)?
+        .to_str()
+        .ok()?;
+    let (scheme, token) = text.split_once(' ')?;
+    scheme
+        .eq_ignore_ascii_case("bearer")
+        .then(|| token.trim().to_string())
+}
+
+/// Takes a job in.
+async fn submit(node: &Arc<Node>, mut call: Call, body: &[u8]) -> (Call, Answer) {
+    let spec: JobSpec = match serde_json::from_slice(body) {
+        Ok(spec) => spec,
+        Err(e) => {
+            let detail = format!("line {}, column {}: {e}", e.line(), e.column());
+            let reply = Reply::refused(Counter::RefusedMalformed, detail);
+            return (call, Answer::Other(reply));
+        }
+    };
+    call.target = Target::Class {
+        class: spec.class.to_string(),
+        organisation: spec.organisation.to_string(),
+    };
+    let id = match &spec.ticket {
+        Some(ticket) => id_of_ticket(&ticket.to_string()),
+        None => JobId::from(rand::random::<u64>()),
+    };
+    let request = match translate(&spec) {
+        Ok(request) => request,
+        Err(e) => {
+            let reply = Reply::refused(Counter::RefusedMalformed, e.to_string());
+            return (call, Answer::Other(reply));
+        }
+    };
+    let answer = match accept_request(node, &call, id, &request).await {
+        Reply::State(_) => Answer::Accepted(Accepted {
+            job: id.to_string(),
+            durable: true,
+        }),
+        other => Answer::Other(other),
+    };
+    (call, answer)
+}
+
+/// The identifier of the job that a ticket stands for.
+fn id_of_ticket(ticket: &str) -> JobId {
+    let digest = Sha256::digest(ticket.as_bytes());
+    let first = digest
+        .iter()
+        .take(8)
+        .fold(0, |id, byte| id << 8 | u64::from(*byte));
+    JobId::from(first)
+}
+
+/// A gang as a job of one step. Members that have to share a worker run as one task with all their accelerators.
+fn translate(spec: &JobSpec) -> Result<JobRequest, scheduler::SpecError> {
+    let gang = spec.gang;
+    let (count, accelerators) = match gang.adjacency() {
+        Adjacency::Worker => (1, gang.accelerators()),
+        Adjacency::Rack | Adjacency::DataCentre => (gang.members(), gang.accelerators_per_member()),
+    };
+    let accelerators = i64::from(accelerators);
+    let step = StepSpec {
+        count,
+        need: Need {
+            cpu_millis: accelerators * CPU_MILLIS_PER_ACCELERATOR,
+            memory_mb: accelerators * MEMORY_MB_PER_ACCELERATOR,
+            accelerators,
+        },
+        estimate_ms: spec.run_ms_declared,
+        saves_progress: spec.checkpointable,
+        gang: true,
+        one_rack: gang.adjacency() == Adjacency::Rack,
+        ..StepSpec::default()
+    };
+    JobRequest::check(spec.input.clone(), vec![step], Timing::default())
+}
+
+/// Tells where a job stands, or cancels it.
+async fn ask(node: &Arc<Node>, call: &Call, method: &Method, id: &str) -> Answer {
+    let Ok(id) = id.parse::<JobId>() else {
+        let detail = "a job's id is 16 lower-case hexadecimal digits";
+        return Answer::Other(Reply::refused(Counter::RefusedMalformed, detail));
+    };
+    match answer_for_job(node, call, method, id).await {
+        Ok(Some(record)) => Answer::Status(status(id, &record)),
+        Ok(None) => Answer::Other(Reply::Gone),
+        Err(reply) => Answer::Other(reply),
+    }
+}
+
+/// The record of a job of the caller's organisation, after cancelling it if that is asked; a job of another
+/// organisation is treated as if it did not exist.
+async fn answer_for_job(
+    node: &Arc<Node>,
+    call: &Call,
+    method: &Method,
+    id: JobId,
+) -> Result<Option<JobRecord>, Reply> {
+    let Some(now) = node.contact.in_force(node.oldest_contact_ms(now_ms())) else {
+        let detail = "the configuration was not confirmed lately";
+        return Err(Reply::refused(Counter::RefusedNoConfiguration, detail));
+    };
+    let caller = admit(&now.configuration, call)?.organisation;
+    let record = find_record(node, call, id).await?;
+    let record = record.filter(|record| record.organisation == caller);
+    match (method, record) {
+        (_, None) => Ok(None),
+        (&Method::GET, record) => Ok(record),
+        (&Method::DELETE, Some(record)) => match cancel_job(node, call, id).await {
+            Reply::State(state) => Ok(Some(JobRecord { state, ..record })),
+            other => Err(other),
+        },
+        _ => Err(Reply::refused(
+            Counter::RefusedMethod,
+            "GET, POST or DELETE",
+        )),
+    }
+}
+
+fn status(id: JobId, record: &JobRecord) -> Status {
+    let members = record
+        .groups
+        .iter()
+        .flat_map(|group| &group.units)
+        .filter_map(|unit| unit.worker.as_ref())
+        .map(|worker| Member {
+            worker: worker.id.clone(),
+        })
+        .collect();
+    let (state, why) = match record.state {
+        JobState::Pending => ("waiting", "waits for room"),
+        JobState::Running => ("running", ""),
+        JobState::Completed => ("finished", "all its work is done"),
+        JobState::Failed => ("failed", "it failed as often as its class bears"),
+        JobState::Cancelled => ("cancelled", "its caller cancelled it"),
+    };
+    Status {
+        job: id.to_string(),
+        state,
+        members,
+        why: why.to_string(),
+    }
+}
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -19,12 +19,13 @@
 use tarpc::server::{BaseChannel, Channel};
 use tarpc::tokio_serde::formats::Bincode;
 
+use crate::call::{Call, Target};
 use crate::clock::now_ms;
 use crate::keys;
 use crate::metrics::Counter;
 use crate::node::Node;
 use crate::reply::Reply;
-use crate::requests::{Call, handle};
+use crate::requests::handle;
 
 /// How long a node stands in the list after its last renewal: longer than the longest outage that the users list, so
 /// that few have to be entered again after one.
@@ -56,8 +57,7 @@
 pub(crate) struct PassedCall {
     /// The caller's key.
     key: Option<String>,
-    host: String,
-    path: String,
+    target: Target,
     method: String,
     body: Vec<u8>,
     /// How much time the caller leaves.
@@ -143,8 +143,7 @@
         node.metrics.count(Counter::PassedOn);
         let passed = PassedCall {
             key: call.key.clone(),
-            host: call.host.clone(),
-            path: call.path.clone(),
+            target: call.target.clone(),
             method: method.to_string(),
             body: body.to_vec(),
             left_ms,
@@ -206,8 +205,7 @@
             arrived_ms,
             answer_by_ms: arrived_ms + passed.left_ms,
             key: passed.key,
-            host: passed.host,
-            path: passed.path,
+            target: passed.target,
         };
         let reply = handle(node, &call, &method, &passed.body).await;
         if !reply.is_for_want_of_store() {
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -6,9 +6,10 @@
 use adapter::read_headers;
 use poem::http::{Method, StatusCode};
 use poem::{Endpoint, Request, Response};
-use scheduler::{Denied, JobId};
+use scheduler::JobId;
 use serde_json::Value;
 
+use crate::call::{Admitted, Call, Target, admit};
 use crate::clock::now_ms;
 use crate::intake::accept_job;
 use crate::job_calls::{cancel_job, count_waiting, read_state};
@@ -18,25 +19,11 @@
 use crate::reply::Reply;
 
 /// How long a caller waits that does not say so; the budget of all kinds of request today.
-const DEFAULT_WAIT_MS: u64 = 3_000;
+pub(crate) const DEFAULT_WAIT_MS: u64 = 3_000;
 
 /// Kept free of a caller's time for the way back.
 const ANSWER_MARGIN_MS: u64 = 250;
 
-/// One call, as far as it has been understood.
-#[derive(Debug, Clone)]
-pub(crate) struct Call {
-    /// When it arrived.
-    pub arrived_ms: u64,
-    /// When its answer has to leave.
-    pub answer_by_ms: u64,
-    /// The caller's key.
-    pub key: Option<String>,
-    /// The host and path that it names.
-    pub host: String,
-    pub path: String,
-}
-
 /// Serves callers.
 pub(crate) struct Front(pub Arc<Node>);
 
@@ -45,15 +32,22 @@
 
     async fn call(&self, request: Request) -> poem::Result<Response> {
         let node = &self.0;
-        node.active.fetch_add(1, Ordering::Relaxed);
-        let _active = Active(node);
+        let _active = Active::begin(node);
         let response = answer(node, request).await;
         Ok(response)
     }
 }
 
-/// Counts a call as answered when dropped.
-struct Active<'n>(&'n Node);
+/// A call that is being answered; counts as answered when dropped.
+pub(crate) struct Active<'n>(&'n Node);
+
+impl Active<'_> {
+    /// A call has arrived.
+    pub fn begin(node: &Node) -> Active<'_> {
+        node.active.fetch_add(1, Ordering::Relaxed);
+        Active(node)
+    }
+}
 
 impl Drop for Active<'_> {
     fn drop(&mut self) {
@@ -71,8 +65,10 @@
         arrived_ms,
         answer_by_ms: arrived_ms + waits_ms.saturating_sub(ANSWER_MARGIN_MS),
         key: said.key,
-        host: header("host").unwrap_or_default().to_string(),
-        path: request.uri().path().to_string(),
+        target: Target::Path {
+            host: header("host").unwrap_or_default().to_string(),
+            path: request.uri().path().to_string(),
+        },
     };
     let method = request.method().clone();
     let limit = node
@@ -126,15 +122,14 @@
             "the configuration was not confirmed lately",
         );
     };
-    let Some((queue, rest)) = now.configuration.find_queue(&call.host, &call.path) else {
-        return Reply::refused(Counter::RefusedNoQueue, "no queue has that host and path");
+    let Admitted { queue, rest, .. } = match admit(&now.configuration, call) {
+        Ok(admitted) => admitted,
+        Err(reply) => return reply,
     };
-    if let Err(Denied::UnknownKey | Denied::NoQueue) =
-        now.configuration.admit_caller(queue, call.key.as_deref())
+    if let Some(queue) = queue
+        && rest.is_empty()
+        && method == Method::GET
     {
-        return Reply::refused(Counter::RefusedKey, "the key is not known");
-    }
-    if rest.is_empty() && method == Method::GET {
         return count_waiting(node, &queue.name, call).await;
     }
     let Ok(id) = rest.parse::<JobId>() else {
@@ -150,9 +145,9 @@
 }
 
 /// Counts and logs what a call came to.
-fn note(node: &Node, call: &Call, method: &Method, reply: &Reply) {
+pub(crate) fn note(node: &Node, call: &Call, method: &Method, reply: &Reply) {
     let took_ms = now_ms().saturating_sub(call.arrived_ms);
-    let id = call.path.rsplit('/').next().unwrap_or_default();
+    let id = call.target.last_part();
     let (what, why, counter) = match reply {
         Reply::State(_) | Reply::Waiting(_) => {
             if *method == Method::POST {
@@ -182,7 +177,7 @@
             Value::from(now_ms().saturating_sub(confirmed_ms)),
         ),
         ("method", Value::from(method.as_str())),
-        ("path", Value::from(call.path.as_str())),
+        ("path", Value::from(call.target.name())),
         ("reason", Value::from(reason)),
         ("why", Value::from(why)),
         ("took_ms", Value::from(took_ms)),
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -46,6 +46,7 @@
     readiness: String,
     metrics: String,
     peers: Option<String>,
+    own: Option<String>,
 }
 
 #[derive(Debug, Default, Deserialize)]
@@ -106,6 +107,8 @@
     pub metrics: SocketAddrV4,
     /// Where it takes calls that its peers pass on, if it does.
     pub peers: Option<SocketAddrV4>,
+    /// Where it serves the product's own interface, if it does.
+    pub own: Option<SocketAddrV4>,
     /// The platform's store.
     pub store: SocketAddrV4,
     /// The shortest lease of the store.
@@ -169,6 +172,12 @@
                 .as_deref()
                 .filter(|a| !a.is_empty())
                 .map(|a| address("listen.peers", a)),
+            own: raw
+                .listen
+                .own
+                .as_deref()
+                .filter(|a| !a.is_empty())
+                .map(|a| address("listen.own", a)),
             store: address("store.address", &raw.store.address),
             machines: raw
                 .machines
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -24,6 +24,7 @@
 /// A node on a thread and a runtime of its own; killing it ends everything that it does.
 pub struct TestNode {
     pub address: SocketAddr,
+    pub own: SocketAddr,
     readiness: SocketAddr,
     kill: Option<oneshot::Sender<()>>,
     thread: Option<JoinHandle<()>>,
@@ -98,11 +99,11 @@
     /// Starts another node that reaches the store at an address of its own, and waits until it is ready.
     pub async fn add_node_at(&mut self, store: SocketAddr) -> usize {
         let (callers, readiness, metrics) = (free_address(), free_address(), free_address());
-        let peers = free_address();
+        let (peers, own) = (free_address(), free_address());
         let name = format!("node-{}", self.nodes.len());
         let text = json!({
             "node": {"name": name, "data_centre": "gyor", "region": "dunantul"},
-            "listen": {"callers": callers, "readiness": readiness, "metrics": metrics, "peers": peers},
+            "listen": {"callers": callers, "readiness": readiness, "metrics": metrics, "peers": peers, "own": own},
             "store": {"address": store, "shortest_lease_ms": 100},
             "orders": "rpc",
         });
@@ -123,6 +124,7 @@
         });
         self.nodes.push(TestNode {
             address: callers,
+            own,
             readiness,
             kill: Some(kill),
             thread: Some(thread),
--- a/crates/scheduler/src/configuration.rs
+++ b/crates/scheduler/src/configuration.rs
@@ -105,6 +105,11 @@
             .max_by_key(|(queue, _)| queue.path_prefix.len())
     }
 
+    /// The queue of a name.
+    pub fn find_queue_by_name(&self, name: &str) -> Option<&Queue> {
+        self.queues.iter().find(|queue| queue.name == name)
+    }
+
     /// The organisation that a key belongs to.
     pub fn find_organisation(&self, key: &str) -> Option<&Organisation> {
         self.organisations
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -194,6 +194,7 @@
         JobRecord {
             state: self.state,
             queue: self.stored.queue.clone(),
+            organisation: self.stored.organisation.clone(),
             ended_unix_ms: self.ended_unix_ms,
             groups,
         }
--- a/crates/scheduler/src/record.rs
+++ b/crates/scheduler/src/record.rs
@@ -42,6 +42,9 @@
     pub state: JobState,
     /// The queue that took it.
     pub queue: String,
+    /// Whose it is.
+    #[serde(default)]
+    pub organisation: String,
     /// When it ended, in Unix milliseconds; 0 before.
     #[serde(default)]
     pub ended_unix_ms: u64,
--- a/crates/scheduler/src/task.rs
+++ b/crates/scheduler/src/task.rs
@@ -22,6 +22,12 @@
 #[serde(transparent)]
 pub struct JobId(u64);
 
+impl From<u64> for JobId {
+    fn from(number: u64) -> JobId {
+        JobId(number)
+    }
+}
+
 impl FromStr for JobId {
     type Err = NameError;
 
