--- a/crates/hemlockctl/src/job.rs
+++ b/crates/hemlockctl/src/job.rs
@@ -1,5 +1,7 @@
 //! `hemlockctl job`: gang jobs.
 
+use std::fmt;
+use std::str::FromStr;
 use std::time::Duration;
 
 use clap::{Args, Subcommand};
@@ -13,6 +15,29 @@
 /// Time between two looks at a job that is waited for, in milliseconds.
 const WAIT_POLL_MS: u64 = 500;
 
+/// A job as its node names it: an entry node's identifier, or the 16 hexadecimal digits of a node on the platform.
+#[derive(Debug, Clone)]
+pub(crate) struct JobName(String);
+
+impl fmt::Display for JobName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl FromStr for JobName {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<JobName, String> {
+        let on_platform = text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit());
+        match text.parse::<JobId>() {
+            Ok(_) => Ok(JobName(text.to_owned())),
+            Err(_) if on_platform => Ok(JobName(text.to_ascii_lowercase())),
+            Err(e) => Err(format!("{e}, nor 16 hexadecimal digits")),
+        }
+    }
+}
+
 /// What to do with a job.
 #[derive(Debug, Subcommand)]
 pub(crate) enum JobCommand {
@@ -21,17 +46,17 @@
     /// Shows where a job stands.
     Status {
         /// Identifier of the job.
-        job: JobId,
+        job: JobName,
     },
     /// Waits until a job has ended.
     Wait {
         /// Identifier of the job.
-        job: JobId,
+        job: JobName,
     },
     /// Cancels a job.
     Cancel {
         /// Identifier of the job.
-        job: JobId,
+        job: JobName,
     },
 }
 
@@ -124,14 +149,14 @@
 }
 
 /// Calls the node about one job.
-async fn call(connection: &Connection, method: Method, job: &JobId) -> Result<Value, CtlError> {
+async fn call(connection: &Connection, method: Method, job: &JobName) -> Result<Value, CtlError> {
     connection
         .call_json(method, &format!("/v1/jobs/{job}"), None)
         .await
 }
 
 /// Waits until a job has ended; a node that does not answer is asked again.
-async fn wait(connection: &Connection, output: &Output, job: &JobId) -> Result<(), CtlError> {
+async fn wait(connection: &Connection, output: &Output, job: &JobName) -> Result<(), CtlError> {
     loop {
         match call(connection, Method::GET, job).await {
             Ok(status) if is_final(&status) => {
