Free room for urgent groups before they come

The planner now stops tasks of the lowest priorities that save their progress, few at a time, when the room kept for urgent groups is not free; a group is pressed by how long its tasks wait, not its first.

--- a/crates/scheduler/src/headroom.rs
+++ b/crates/scheduler/src/headroom.rs
@@ -5,8 +5,8 @@
 
 use std::collections::{HashMap, VecDeque};
 
-use crate::fit::{Spot, split_by_rack};
-use crate::group::GroupKey;
+use crate::fit::{Spot, find_places_on_one_rack, split_by_rack};
+use crate::group::{GroupKey, Phase, UnitKey};
 use crate::planner::Planner;
 use crate::spec::Need;
 use crate::worker::WorkerKey;
@@ -42,6 +42,15 @@
     service: String,
 }
 
+/// Work of this priority and lower may be stopped for urgent groups to come.
+const LEAST_CHEAP_PRIORITY: u32 = 2;
+
+/// Only a task that has run this long is stopped for them: it has got further since its last start.
+const LEAST_RUN_MS: u64 = 1_500;
+
+/// The most stops that are worth it for one urgent group to come: as many as tasks that one lasts as long as.
+const MOST_STOPS: usize = 16;
+
 /// Urgent groups that came lately, the oldest first.
 #[derive(Debug, Default)]
 pub(crate) struct UrgentArrivals(VecDeque<UrgentArrival>);
@@ -85,19 +94,7 @@
         let Some((size, times)) = self.urgent.expect(now_ms) else {
             return HashMap::new();
         };
-        let mut spots: Vec<Spot> = self
-            .workers
-            .iter()
-            .filter(|(_, w)| self.is_usable(w, now_ms) && w.entry.service == size.service)
-            .map(|(key, worker)| Spot {
-                worker: key,
-                rack: worker.entry.rack.clone(),
-                free: worker.free(),
-                slots_left: u32::MAX,
-                rack_free: 0,
-                doubtful: worker.health.is_doubtful(),
-            })
-            .collect();
+        let mut spots = self.list_headroom_spots(size, now_ms);
         let mut kept = HashMap::new();
         for _ in 0..times {
             for worker in find_roomiest(&spots, size) {
@@ -110,11 +107,35 @@
         kept
     }
 
-    /// Whether a group has waited so long that it no longer leaves room for urgent work to come.
+    /// The workers on which room is kept, as they stand.
+    fn list_headroom_spots(&self, size: &UrgentArrival, now_ms: u64) -> Vec<Spot> {
+        self.workers
+            .iter()
+            .filter(|(_, w)| self.is_usable(w, now_ms) && w.entry.service == size.service)
+            .map(|(key, worker)| Spot {
+                worker: key,
+                rack: worker.entry.rack.clone(),
+                free: worker.free(),
+                slots_left: u32::MAX,
+                rack_free: 0,
+                doubtful: worker.health.is_doubtful(),
+            })
+            .collect()
+    }
+
+    /// Whether tasks of a group have waited so long that it no longer leaves room for urgent work to come.
     pub(crate) fn is_pressed(&self, group: GroupKey, now_ms: u64) -> bool {
         let job = &self.jobs[group.job];
-        let ready_ms = job.groups[group.group as usize].ready_ms;
-        let waited_ms = now_ms.saturating_sub(ready_ms.unwrap_or(now_ms));
+        let at = &job.groups[group.group as usize];
+        let waits_since_ms = at
+            .units
+            .iter()
+            .filter(|unit| unit.phase == Phase::Waiting)
+            .map(|unit| unit.since_ms)
+            .min()
+            .unwrap_or(now_ms)
+            .max(at.ready_ms.unwrap_or(now_ms));
+        let waited_ms = now_ms.saturating_sub(waits_since_ms);
         let estimate_ms = job.step_of(group.group as usize).estimate_ms;
         let slack_ms = estimate_ms * u64::from(job.stored.stretch_percent.saturating_sub(100))
             / 100
@@ -125,6 +146,149 @@
         };
         waited_ms > slack_ms * heed_percent / 100
     }
+
+    /// Stops work of low priority that saves its progress, so that the room kept for urgent groups to come is free when
+    /// they come.
+    pub(crate) fn refill_headroom(&mut self, now_ms: u64) {
+        let Some((size, times)) = self.urgent.expect(now_ms) else {
+            return;
+        };
+        let size = size.clone();
+        let mut spots = self.list_headroom_spots(&size, now_ms);
+        for spot in &mut spots {
+            spot.free += self.room_coming_free(spot.worker);
+        }
+        let victims = self.list_cheap_victims(&spots, now_ms);
+        let mut stopped: Vec<UnitKey> = Vec::new();
+        for _ in 0..times {
+            let places = find_places_on_one_rack(&spots, &size.need, size.count);
+            let (places, more) = match places {
+                Some(places) => (places, Vec::new()),
+                None => match plan_cheapest(&spots, &victims, &stopped, &size) {
+                    Some(plan) => plan,
+                    None => break,
+                },
+            };
+            for spot in &mut spots {
+                for victim in more.iter().filter(|v| v.worker == spot.worker) {
+                    spot.free += victim.need;
+                }
+                let taken = places.iter().filter(|w| **w == spot.worker).count();
+                for _ in 0..taken {
+                    spot.put(&size.need);
+                }
+            }
+            stopped.extend(more.into_iter().map(|victim| victim.unit));
+        }
+        for unit in stopped {
+            self.counts.preempted += 1;
+            let id = self.jobs[unit.group.job].stored.id;
+            let why = format!("task {} leaves room for urgent work to come", unit.unit);
+            self.decide(Some(id), "preempted", why);
+            self.stop_unit(unit, now_ms);
+        }
+    }
+
+    /// Room that stops under way will free on a worker.
+    fn room_coming_free(&self, worker: WorkerKey) -> Need {
+        self.workers[worker]
+            .units
+            .keys()
+            .filter(|unit| {
+                matches!(
+                    self.unit(**unit).map(|u| u.phase),
+                    Some(Phase::Stopping { .. })
+                )
+            })
+            .fold(Need::default(), |sum, unit| sum + self.need(unit.group))
+    }
+
+    /// Tasks whose stop loses next to nothing, on each worker: of the lowest priorities, with saved progress.
+    fn list_cheap_victims(
+        &self,
+        spots: &[Spot],
+        now_ms: u64,
+    ) -> HashMap<WorkerKey, Vec<CheapVictim>> {
+        let mut all: HashMap<WorkerKey, Vec<CheapVictim>> = HashMap::new();
+        for spot in spots {
+            for unit in self.workers[spot.worker].units.keys().copied() {
+                let job = &self.jobs[unit.group.job];
+                let step = job.step_of(unit.group.group as usize);
+                let cheap = step.saves_progress && !step.gang && !step.lasting;
+                if cheap
+                    && job.stored.priority >= LEAST_CHEAP_PRIORITY
+                    && self.has_run_for(unit, now_ms)
+                {
+                    all.entry(spot.worker).or_default().push(CheapVictim {
+                        unit,
+                        worker: spot.worker,
+                        need: self.need(unit.group),
+                    });
+                }
+            }
+        }
+        all
+    }
+
+    /// Whether a task has run for long enough that it has saved something since it was started.
+    fn has_run_for(&self, key: UnitKey, now_ms: u64) -> bool {
+        self.unit(key).is_some_and(|unit| {
+            matches!(unit.phase, Phase::Running { .. }) && unit.started_ms + LEAST_RUN_MS <= now_ms
+        })
+    }
+}
+
+/// A task that can be stopped at next to no loss.
+#[derive(Debug, Clone, Copy)]
+struct CheapVictim {
+    unit: UnitKey,
+    worker: WorkerKey,
+    need: Need,
+}
+
+/// The rack on which the fewest stops make room for a group, with its places and those stops.
+fn plan_cheapest(
+    spots: &[Spot],
+    victims: &HashMap<WorkerKey, Vec<CheapVictim>>,
+    stopped: &[UnitKey],
+    size: &UrgentArrival,
+) -> Option<(Vec<WorkerKey>, Vec<CheapVictim>)> {
+    split_by_rack(spots)
+        .into_values()
+        .filter_map(|mut rack| {
+            let mut places = Vec::new();
+            let mut stops: Vec<CheapVictim> = Vec::new();
+            for _ in 0..size.count {
+                let (at, more) = (0..rack.len())
+                    .filter_map(|at| {
+                        let mut free = rack[at].free;
+                        let mut more = Vec::new();
+                        let here = victims.get(&rack[at].worker).into_iter().flatten();
+                        for victim in here {
+                            if size.need.fits(&free) {
+                                break;
+                            }
+                            let taken = stopped.contains(&victim.unit)
+                                || stops.iter().any(|s| s.unit == victim.unit);
+                            if !taken {
+                                free += victim.need;
+                                more.push(*victim);
+                            }
+                        }
+                        size.need.fits(&free).then_some((at, more))
+                    })
+                    .min_by_key(|(_, more)| more.len())?;
+                for victim in &more {
+                    rack[at].free += victim.need;
+                }
+                rack[at].put(&size.need);
+                places.push(rack[at].worker);
+                stops.extend(more);
+            }
+            Some((places, stops))
+        })
+        .min_by_key(|(_, stops)| stops.len())
+        .filter(|(_, stops)| stops.len() <= MOST_STOPS)
 }
 
 /// Where on one rack the most tasks of a group fit; among racks that hold the whole group, the fullest.
--- a/crates/scheduler/src/schedule.rs
+++ b/crates/scheduler/src/schedule.rs
@@ -43,6 +43,7 @@
             kept.workers.extend(self.make_room(group, now_ms));
             self.ask_advice(group, now_ms);
         }
+        self.refill_headroom(now_ms);
     }
 
     /// Groups with tasks to start, first come first.
