Answer 503, not 413, on a node that knows no configuration yet

A 413 is final, so those jobs were lost; a 503 brings the caller back. Nodes in tests get sockets that are bound already: a port that was free a moment before was taken in one run of ten. Test node_without_configuration_asks_to_come_back.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -14,6 +14,7 @@
 mod job_calls;
 mod keys;
 mod lead;
+mod listeners;
 mod listing;
 mod log;
 mod metrics;
@@ -29,7 +30,8 @@
 mod term;
 mod upkeep;
 
+pub use listeners::Listeners;
 pub use log::Log;
 pub use metrics::{Counter, Metrics, Timing};
-pub use node::{ServeError, serve};
+pub use node::{ServeError, serve, serve_on};
 pub use settings::{Finding, Settings};
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -1,6 +1,7 @@
 //! A node: its parts, and its life from start to stop.
 
 use std::collections::HashMap;
+use std::net::TcpListener;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 
@@ -8,7 +9,6 @@
     AdviceClient, CallError, HttpCaller, HttpLimits, MachinesClient, StoreClient, WorkerClient,
 };
 use poem::Server;
-use poem::listener::TcpListener;
 use scheduler::{JobId, JobState};
 use serde_json::Value;
 use thiserror::Error;
@@ -18,6 +18,7 @@
 use crate::contact::Contact;
 use crate::job_calls::WaitingCounts;
 use crate::lead::{campaign, release_lead};
+use crate::listeners::{Listeners, accept_http};
 use crate::log::Log;
 use crate::metrics::Metrics;
 use crate::own::OwnInterface;
@@ -132,6 +133,16 @@
 
 /// Runs a node until it is stopped by a signal.
 pub async fn serve(settings: Settings, log: Log) -> Result<(), ServeError> {
+    let listeners = Listeners::bind(&settings)?;
+    serve_on(listeners, settings, log).await
+}
+
+/// The same on sockets that are bound already.
+pub async fn serve_on(
+    listeners: Listeners,
+    settings: Settings,
+    log: Log,
+) -> Result<(), ServeError> {
     let limits = HttpLimits {
         connect_timeout_ms: CONNECT_TIMEOUT_MS,
         idle_per_host: IDLE_PER_HOST,
@@ -175,16 +186,16 @@
         tokio::spawn(follow_peers(node.clone(), address));
     }
     let front = tokio::spawn(
-        Server::new(TcpListener::bind(node.settings.callers)).run(Front(node.clone())),
+        Server::new_with_acceptor(accept_http(listeners.callers)?).run(Front(node.clone())),
     );
     let readiness = tokio::spawn(
-        Server::new(TcpListener::bind(node.settings.readiness)).run(Readiness(node.clone())),
+        Server::new_with_acceptor(accept_http(listeners.readiness)?).run(Readiness(node.clone())),
     );
     let metrics = tokio::spawn(
-        Server::new(TcpListener::bind(node.settings.metrics)).run(MetricsPage(node.clone())),
+        Server::new_with_acceptor(accept_http(listeners.metrics)?).run(MetricsPage(node.clone())),
     );
-    let peers = serve_peers_if_asked(&node);
-    let own = serve_own_if_asked(&node);
+    let peers = serve_peers_if_asked(&node, listeners.peers);
+    let own = serve_own_if_asked(&node, listeners.own);
     tokio::select! {
         result = own => return Ok(result?),
         result = peers => return Ok(result?),
@@ -201,11 +212,14 @@
     Ok(())
 }
 
-/// Serves the product's own interface, on a node whose settings say where.
-async fn serve_own_if_asked(node: &Arc<Node>) -> std::io::Result<()> {
-    match node.settings.own {
-        Some(address) => {
-            Server::new(TcpListener::bind(address))
+/// Serves the product's own interface, on a node that listens for it.
+async fn serve_own_if_asked(
+    node: &Arc<Node>,
+    listener: Option<TcpListener>,
+) -> std::io::Result<()> {
+    match listener {
+        Some(listener) => {
+            Server::new_with_acceptor(accept_http(listener)?)
                 .run(OwnInterface(node.clone()))
                 .await
         }
@@ -213,10 +227,13 @@
     }
 }
 
-/// Serves peers' calls, on a node whose settings say where.
-async fn serve_peers_if_asked(node: &Arc<Node>) -> std::io::Result<()> {
-    match node.settings.peers {
-        Some(address) => serve_peers(node.clone(), address).await,
+/// Serves peers' calls, on a node that listens for them.
+async fn serve_peers_if_asked(
+    node: &Arc<Node>,
+    listener: Option<TcpListener>,
+) -> std::io::Result<()> {
+    match listener {
+        Some(listener) => serve_peers(node.clone(), listener).await,
         None => std::future::pending().await,
     }
 }
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -3,7 +3,7 @@
 //! Every node that serves peers stands in the store under a lease of its own; all nodes read that list now and then and
 //! keep what they know of it through an outage.
 
-use std::net::SocketAddrV4;
+use std::net::{SocketAddrV4, TcpListener};
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -15,9 +15,10 @@
 use serde_json::Value;
 use tarpc::client;
 use tarpc::context::{self, Context};
-use tarpc::serde_transport::tcp;
+use tarpc::serde_transport::{self, tcp};
 use tarpc::server::{BaseChannel, Channel};
 use tarpc::tokio_serde::formats::Bincode;
+use tarpc::tokio_util::codec::LengthDelimitedCodec;
 
 use crate::call::{Call, Target};
 use crate::clock::now_ms;
@@ -216,21 +217,28 @@
 }
 
 /// Serves peers' calls until the process ends.
-pub(crate) async fn serve_peers(node: Arc<Node>, address: SocketAddrV4) -> std::io::Result<()> {
-    let incoming = tcp::listen(address, Bincode::default).await?;
-    incoming
-        .filter_map(|transport| std::future::ready(transport.ok()))
-        .for_each(|transport| {
-            let calls =
-                BaseChannel::with_defaults(transport).execute(PeerServer(node.clone()).serve());
-            tokio::spawn(calls.for_each(|call| {
-                tokio::spawn(call);
-                std::future::ready(())
-            }));
+pub(crate) async fn serve_peers(node: Arc<Node>, listener: TcpListener) -> std::io::Result<()> {
+    listener.set_nonblocking(true)?;
+    let listener = tokio::net::TcpListener::from_std(listener)?;
+    loop {
+        let (connection, _) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            // The connection failed before it was taken, or descriptors ran short: the next one may do.
+            Err(e) => {
+                let fields = [("why", Value::from(e.to_string()))];
+                node.log.general("peers", "connection not taken", &fields);
+                tokio::time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
+                continue;
+            }
+        };
+        let framed = LengthDelimitedCodec::builder().new_framed(connection);
+        let transport = serde_transport::new(framed, Bincode::default());
+        let calls = BaseChannel::with_defaults(transport).execute(PeerServer(node.clone()).serve());
+        tokio::spawn(calls.for_each(|call| {
+            tokio::spawn(call);
             std::future::ready(())
-        })
-        .await;
-    Ok(())
+        }));
+    }
 }
 
 /// Keeps this node's entry in the list of peers, and its own copy of the list.
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -71,18 +71,9 @@
         },
     };
     let method = request.method().clone();
-    let limit = node
-        .contact
-        .latest()
-        .map_or(0, |now| now.configuration.limits.body_bytes);
-    let body = request.take_body().into_bytes_limit(limit.max(1)).await;
-    let reply = match body {
+    let reply = match read_body(node, &mut request).await {
         Ok(body) => answer_anyhow(node, &call, &method, &body).await,
-        Err(poem::error::ReadBodyError::PayloadTooLarge) => Reply::refused(
-            Counter::RefusedTooLarge,
-            format!("the body is larger than {limit} bytes"),
-        ),
-        Err(e) => Reply::refused(Counter::RefusedMalformed, e.to_string()),
+        Err(reply) => reply,
     };
     note(node, &call, &method, &reply);
     let mut response = reply.into_response();
@@ -94,6 +85,24 @@
     response
 }
 
+/// Reads a call's body, as far as the configuration allows.
+async fn read_body(node: &Node, request: &mut Request) -> Result<Vec<u8>, Reply> {
+    // Without a configuration the limit is not known: the caller may come back, which it would not after a 413.
+    let Some(now) = node.contact.latest() else {
+        let detail = "no configuration is known";
+        return Err(Reply::refused(Counter::RefusedNoConfiguration, detail));
+    };
+    let limit = now.configuration.limits.body_bytes;
+    match request.take_body().into_bytes_limit(limit).await {
+        Ok(body) => Ok(body.into()),
+        Err(poem::error::ReadBodyError::PayloadTooLarge) => {
+            let detail = format!("the body is larger than {limit} bytes");
+            Err(Reply::refused(Counter::RefusedTooLarge, detail))
+        }
+        Err(e) => Err(Reply::refused(Counter::RefusedMalformed, e.to_string())),
+    }
+}
+
 /// Answers a call here, or through a peer while this node does not reach the store.
 async fn answer_anyhow(node: &Arc<Node>, call: &Call, method: &Method, body: &[u8]) -> Reply {
     let mut passed = false;
--- a/crates/control/tests/calls.rs
+++ b/crates/control/tests/calls.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use platform_standin::configuration;
+use platform_standin::{StoreFault, configuration};
 use rstest::rstest;
 use serde_json::Value;
 use support::{KEY, Site};
@@ -123,3 +123,17 @@
     })
     .await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn node_without_configuration_asks_to_come_back() {
+    let mut site = Site::start(1, LONG).await;
+    let door = site.store.open_door().await.unwrap();
+    door.set_fault(StoreFault::Busy);
+    let at = site.start_node_at(door.address());
+    site.wait("the node answers", async |site| {
+        site.submit(at, 1, 1).await != 0
+    })
+    .await;
+    assert_eq!(site.submit(at, 1, 1).await, 503);
+    assert!(!site.is_ready(at).await);
+}
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -2,11 +2,11 @@
 
 #![allow(dead_code)]
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-use control::{Log, Settings};
+use control::{Listeners, Log, Settings};
 use platform_standin::{Audit, StoreStandIn, WorkerStandIn};
 use reqwest::{Client, Response};
 use serde_json::{Value, json};
@@ -58,13 +58,6 @@
     pub client: Client,
 }
 
-fn free_address() -> SocketAddr {
-    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
-        .unwrap()
-        .local_addr()
-        .unwrap()
-}
-
 impl Site {
     /// A site whose tasks take `run_for`, with one node.
     pub async fn start(workers: usize, run_for: Duration) -> Site {
@@ -98,8 +91,20 @@
 
     /// Starts another node that reaches the store at an address of its own, and waits until it is ready.
     pub async fn add_node_at(&mut self, store: SocketAddr) -> usize {
-        let (callers, readiness, metrics) = (free_address(), free_address(), free_address());
-        let (peers, own) = (free_address(), free_address());
+        let at = self.start_node_at(store);
+        self.wait("the node is ready", async |site| site.is_ready(at).await)
+            .await;
+        at
+    }
+
+    /// Starts another node that reaches the store at an address of its own.
+    pub fn start_node_at(&mut self, store: SocketAddr) -> usize {
+        let listeners = Listeners::bind_free().unwrap();
+        let address = |listener: &TcpListener| listener.local_addr().unwrap();
+        let optional = |listener: &Option<TcpListener>| address(listener.as_ref().unwrap());
+        let (callers, readiness) = (address(&listeners.callers), address(&listeners.readiness));
+        let (metrics, own) = (address(&listeners.metrics), optional(&listeners.own));
+        let peers = optional(&listeners.peers);
         let name = format!("node-{}", self.nodes.len());
         let text = json!({
             "node": {"name": name, "data_centre": "gyor", "region": "dunantul"},
@@ -116,7 +121,7 @@
                 .unwrap();
             runtime.block_on(async {
                 tokio::select! {
-                    result = control::serve(settings, Log::silent(&name)) => result.unwrap(),
+                    result = control::serve_on(listeners, settings, Log::silent(&name)) => result.unwrap(),
                     _ = killed => {}
                 }
             });
@@ -129,10 +134,7 @@
             kill: Some(kill),
             thread: Some(thread),
         });
-        let at = self.nodes.len() - 1;
-        self.wait("the node is ready", async |site| site.is_ready(at).await)
-            .await;
-        at
+        self.nodes.len() - 1
     }
 
     /// Whether a node says that it is ready.
