Let the lead last 1 s instead of 1.5

Cause: after each loss of a planner, every closing fault included, nobody plans until its store lease is over.

--- a/crates/control/src/lead.rs
+++ b/crates/control/src/lead.rs
@@ -16,18 +16,19 @@
 use crate::node::Node;
 use crate::term::run_term;
 
-/// How long the lead lasts without renewal. Nobody plans for that long after a planner is lost, and an urgent job of
-/// 2 s can wait for 1.4 s; a lead lost by mistake costs a take-over of 50 ms.
-const LEAD_TTL_MS: u64 = 1_500;
+/// How long the lead lasts without renewal, and the shortest that the users' stores grant. Nobody plans for that long
+/// after a planner is lost, and an urgent job of 2 s can wait for 1.4 s; a lead lost by mistake costs a take-over of
+/// 50 ms.
+const LEAD_TTL_MS: u64 = 1_000;
 
 /// How often it is renewed.
-pub(crate) const RENEW_EVERY_MS: u64 = 300;
+pub(crate) const RENEW_EVERY_MS: u64 = 200;
 
 /// How long a renewal may take before it is made again: more than a store that is 80 times slower than usual takes.
 pub(crate) const RENEW_TIMEOUT_MS: u64 = 450;
 
 /// Taken off the lease, so that this node stops before the store lets another one in.
-pub(crate) const LEASE_MARGIN_MS: u64 = 150;
+pub(crate) const LEASE_MARGIN_MS: u64 = 100;
 
 /// How long one watch of the lead waits.
 const WATCH_WAIT_MS: u64 = 5_000;
