--- a/crates/control/src/follow.rs
+++ b/crates/control/src/follow.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use adapter::{CallError, Event, Item, WatchOutcome};
-use scheduler::StoredJob;
+use scheduler::{JobId, StoredJob};
 
 use crate::clock::now_ms;
 use crate::keys;
@@ -22,6 +22,10 @@
 /// The pause after a call that failed.
 const RETRY_PAUSE_MS: u64 = 60;
 
+/// How often the list of jobs that have not begun is looked through for jobs that no watch told of: a watch may hear
+/// nothing for a second, and an urgent job of 2 s can wait for 1.4 s.
+const LOOK_EVERY_MS: u64 = 250;
+
 /// A cancelled job's tasks must not start later than this after the cancel, on any deployment at hand.
 const NOTICE_CANCEL_MS: u64 = 3_000;
 
@@ -94,3 +98,40 @@
     }
     Ok(revision)
 }
+
+/// Looks for jobs that no watch told of, until the term is over.
+pub(crate) async fn look_for_unheard(term: Arc<Term>) {
+    loop {
+        tokio::time::sleep(Duration::from_millis(LOOK_EVERY_MS)).await;
+        // What cannot be read now is looked for again; the watch goes on beside.
+        if let Ok(found) = take_unheard(&term).await
+            && found
+        {
+            term.wake.notify_one();
+        }
+    }
+}
+
+/// Takes in jobs that have not begun and that the planner does not know; true if there were any.
+async fn take_unheard(term: &Term) -> Result<bool, CallError> {
+    let store = &term.node.store;
+    term.node.metrics.count(Counter::StoreCalls);
+    let (waiting, _) = store
+        .read_all(keys::WAITING_PREFIX, CALL_TIMEOUT_MS)
+        .await?;
+    let ids = waiting
+        .iter()
+        .filter_map(|item| item.key.strip_prefix(keys::WAITING_PREFIX)?.parse().ok());
+    let unheard: Vec<JobId> = {
+        let mut planner = term.planner();
+        ids.filter(|id| !planner.has_heard_of(*id, now_ms()))
+            .collect()
+    };
+    for id in &unheard {
+        term.node.metrics.count(Counter::StoreCalls);
+        if let Some(item) = store.read(&keys::job(*id), CALL_TIMEOUT_MS, false).await? {
+            take_request(term, &item);
+        }
+    }
+    Ok(!unheard.is_empty())
+}
--- a/crates/control/src/term.rs
+++ b/crates/control/src/term.rs
@@ -11,7 +11,7 @@
 
 use crate::clock::{now_ms, unix_ms};
 use crate::flush::{Flusher, LATER_TERM};
-use crate::follow::follow_requests;
+use crate::follow::{follow_requests, look_for_unheard};
 use crate::lead::{LEASE_MARGIN_MS, Lead, RENEW_EVERY_MS, RENEW_TIMEOUT_MS, lead_ttl_ms};
 use crate::listing::follow_workers;
 use crate::metrics::{Counter, Timing};
@@ -180,6 +180,7 @@
     node.log.general("planner", "took over", &fields);
     term.spawn(follow_workers(term.clone()));
     term.spawn(follow_requests(term.clone(), seen));
+    term.spawn(look_for_unheard(term.clone()));
     term.spawn(crate::upkeep::follow_waves(term.clone()));
     plan_and_write(term, flusher).await
 }
--- a/crates/control/tests/recovery.rs
+++ b/crates/control/tests/recovery.rs
@@ -183,3 +183,16 @@
         .await;
     assert_eq!(site.audit.wrong(), Vec::<String>::new());
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn job_is_found_while_watches_are_deaf() {
+    let site = Site::start(1, LONG).await;
+    assert_eq!(site.submit(0, 1, 1).await, 200);
+    site.wait("it plans", async |site| site.audit.running() == 1)
+        .await;
+    site.store.set_fault(StoreFault::DeafWatches);
+    assert_eq!(site.submit(0, 2, 2).await, 200);
+    site.wait("the job is found", async |site| site.audit.running() == 3)
+        .await;
+    assert_eq!(site.audit.wrong(), Vec::<String>::new());
+}
--- a/crates/scheduler/src/events.rs
+++ b/crates/scheduler/src/events.rs
@@ -18,7 +18,7 @@
     /// A job was accepted; `order` rises with the order of acceptance.
     pub fn add_job(&mut self, stored: StoredJob, order: u64, now_ms: u64) {
         let id = stored.id;
-        if self.by_job.contains_key(&id) || self.was_let_go(id, now_ms) {
+        if self.has_heard_of(id, now_ms) {
             return;
         }
         let key = self.jobs.insert(Job::new(stored, order, now_ms));
@@ -26,6 +26,11 @@
         self.changed = true;
     }
 
+    /// Whether a job is held, or was until it was over.
+    pub fn has_heard_of(&mut self, id: JobId, now_ms: u64) -> bool {
+        self.by_job.contains_key(&id) || self.was_let_go(id, now_ms)
+    }
+
     /// A job's caller cancelled it.
     pub fn cancel_job(&mut self, id: JobId, now_ms: u64) {
         if let Some(&key) = self.by_job.get(&id) {
