--- a/crates/control/src/lead.rs
+++ b/crates/control/src/lead.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use adapter::{CallError, Event, Item, Precondition, Put, Txn, TxnOutcome, WatchOutcome};
+use adapter::{CallError, Item, Precondition, Put, Txn, TxnOutcome};
 use serde_json::Value;
 
 use crate::clock::now_ms;
@@ -182,24 +182,12 @@
     }
 }
 
-/// Waits until the lead's key is removed, or the watch has to be begun anew.
+/// Waits until the lead's key may have been removed: a change is heard of, or nothing for so long that the watch may be
+/// deaf.
 async fn wait_for_removal(node: &Node, revision: u64) -> Result<(), CallError> {
-    loop {
-        let timeout_ms = WATCH_WAIT_MS + CALL_TIMEOUT_MS;
-        match node
-            .store
-            .watch(keys::LEAD_PREFIX, revision, WATCH_WAIT_MS, timeout_ms)
-            .await?
-        {
-            WatchOutcome::Compacted => return Ok(()),
-            WatchOutcome::Events(events, _) => {
-                let removed = events
-                    .last()
-                    .is_some_and(|event| matches!(event, Event::Removed(..)));
-                if removed || !events.is_empty() {
-                    return Ok(());
-                }
-            }
-        }
-    }
+    let timeout_ms = WATCH_WAIT_MS + CALL_TIMEOUT_MS;
+    let watch = node
+        .store
+        .watch(keys::LEAD_PREFIX, revision, WATCH_WAIT_MS, timeout_ms);
+    watch.await.map(|_| ())
 }
