--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -188,7 +188,7 @@
 }
 
 /// Answers calls for peers.
-#[derive(Clone)]
+#[derive(Debug, Clone)]
 struct PeerServer(Arc<Node>);
 
 impl Peer for PeerServer {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -21,10 +21,12 @@
 mod preempt;
 pub mod prelude;
 mod record;
+mod refill;
 mod schedule;
 mod spec;
 mod task;
 mod upkeep;
+mod urgent;
 mod waste;
 mod worker;
 
--- a/crates/scheduler/src/planner.rs
+++ b/crates/scheduler/src/planner.rs
@@ -6,11 +6,11 @@
 
 use crate::configuration::Configuration;
 use crate::group::{GroupKey, JobKey, Phase, Unit, UnitKey};
-use crate::headroom::UrgentArrivals;
 use crate::job::Job;
 use crate::orders::{Flush, Order, RecordWrite};
 use crate::spec::Need;
 use crate::task::JobId;
+use crate::urgent::UrgentArrivals;
 use crate::worker::{Worker, WorkerKey};
 
 /// A job that is over is known as such for this long. A read of all requests may still name it for as long as that read
--- a/crates/scheduler/tests/headroom.rs
+++ b/crates/scheduler/tests/headroom.rs
@@ -252,3 +252,46 @@
     bench.planner.add_job(stored, 1, bench.now_ms);
     assert_eq!(starts(&bench.plan()).len(), started);
 }
+
+#[rstest]
+#[case::saves_its_progress(true, 2, 32)]
+#[case::would_lose_its_work(false, 2, 0)]
+#[case::second_priority(true, 1, 0)]
+fn room_is_freed_before_urgent_work_comes(
+    #[case] saves_progress: bool,
+    #[case] priority: u32,
+    #[case] stopped: usize,
+) {
+    let mut bench = Bench::with_workers(8);
+    let other = StepSpec {
+        estimate_ms: OTHER_MS,
+        saves_progress,
+        ..step(64, 1)
+    };
+    bench
+        .planner
+        .add_job(job(1, priority, vec![other]), 1, bench.now_ms);
+    let runs = bench.start_all();
+    assert_eq!(starts(&runs).len(), 64, "the site is full");
+    bench.planner.set_configuration(&Configuration {
+        version: 1,
+        queues: vec![queue(0)],
+        services: Vec::new(),
+        organisations: Vec::new(),
+        limits: BodyLimits { body_bytes: 1 },
+    });
+    let mut stops_seen = 0;
+    for _ in 0..4 {
+        bench.now_ms += 1_000;
+        for at in 0..8 {
+            let rows = runs
+                .iter()
+                .filter(|run| worker_of(run) == bench.workers[at])
+                .map(running)
+                .collect();
+            bench.report(at, rows, vec![]);
+        }
+        stops_seen += stops(&bench.plan()).len();
+    }
+    assert_eq!(stops_seen, stopped, "never more than the room that is kept");
+}
