--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -26,6 +26,8 @@
     RefusedNoConfiguration,
     /// Refused: the store did not take the call.
     RefusedStore,
+    /// Refused: no node that was asked reaches the store.
+    RefusedOutage,
     /// Refused: the body is too large.
     RefusedTooLarge,
     /// Refused: the body cannot be read.
--- a/crates/control/src/reply.rs
+++ b/crates/control/src/reply.rs
@@ -52,6 +52,17 @@
         )
     }
 
+    /// This node's own refusal, once no peer could do better either.
+    pub fn after_asking_peers(self) -> Reply {
+        match self {
+            Reply::Refused {
+                reason: Counter::RefusedStore | Counter::RefusedNoConfiguration,
+                detail,
+            } => Reply::refused(Counter::RefusedOutage, detail),
+            other => other,
+        }
+    }
+
     /// The HTTP answer.
     pub fn into_response(self) -> Response {
         let json = Response::builder().content_type("application/json");
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -105,21 +105,23 @@
 
 /// Answers a call here, or through a peer while this node does not reach the store.
 async fn answer_anyhow(node: &Arc<Node>, call: &Call, method: &Method, body: &[u8]) -> Reply {
-    let mut passed = false;
-    if !node.is_store_reached() {
-        passed = true;
-        if let Some(reply) = pass_on(node, call, method, body).await {
-            return reply;
-        }
+    let knows_of_trouble = !node.is_store_reached();
+    if knows_of_trouble && let Some(reply) = pass_on(node, call, method, body).await {
+        return reply;
     }
     let reply = handle(node, call, method, body).await;
-    if passed || !reply.is_for_want_of_store() {
+    if !reply.is_for_want_of_store() || node.peers.is_empty() {
         return reply;
     }
-    match pass_on(node, call, method, body).await {
+    let through_peer = match knows_of_trouble {
+        true => None,
+        false => pass_on(node, call, method, body).await,
+    };
+    match through_peer {
         // This node's own write may still be carried out, so a refusal elsewhere does not show that nothing was.
         Some(Reply::Refused { .. }) if reply == Reply::OutcomeUnknown => reply,
-        through_peer => through_peer.unwrap_or(reply),
+        Some(through_peer) => through_peer,
+        None => reply.after_asking_peers(),
     }
 }
 
--- a/crates/control/tests/passing.rs
+++ b/crates/control/tests/passing.rs
@@ -66,8 +66,14 @@
     let (site, door, cut) = site_with_door().await;
     door.set_fault(StoreFault::Busy);
     site.store.set_fault(StoreFault::Busy);
-    let status = site.submit(cut, 1, 1).await;
-    assert_eq!(status, 503, "neither node can take it in");
+    let step = serde_json::json!({"count": 1, "cpu": 1000, "mem_mb": 100, "gpu": 1});
+    let body = serde_json::json!({"spec": "text", "steps": [step]}).to_string();
+    let path = format!("/q/{:016x}", 1);
+    let answer = site.call(cut, "POST", &path, KEY, body).await.unwrap();
+    assert_eq!(answer.status(), 503, "neither node can take it in");
+    assert_eq!(answer.headers()["retry-after"], "1");
+    let told: serde_json::Value = answer.json().await.unwrap();
+    assert_eq!(told["reason"], "refused_outage");
     site.store.set_fault(StoreFault::None);
     assert!(site.store.keys("q/").is_empty(), "refused means not stored");
 }
