--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -26,7 +26,7 @@
 use crate::metrics::Counter;
 use crate::node::Node;
 use crate::reply::Reply;
-use crate::requests::handle;
+use crate::requests::{Active, handle};
 
 /// How long a node stands in the list after its last renewal: longer than the longest outage that the users list, so
 /// that few have to be entered again after one.
@@ -194,6 +194,8 @@
 impl Peer for PeerServer {
     async fn answer(self, _: Context, passed: PassedCall) -> Option<Reply> {
         let node = &self.0;
+        // A planned stop waits for passed calls like for its own callers' ones.
+        let _active = Active::begin(node);
         let able = node.is_store_reached()
             && !node.is_stopping()
             && node.contact.version().0 >= passed.least_version;
