--- a/crates/control/src/own.rs
+++ b/crates/control/src/own.rs
@@ -146,7 +146,7 @@
         organisation: spec.organisation.to_string(),
     };
     let id = match &spec.ticket {
-        Some(ticket) => id_of_ticket(&ticket.to_string()),
+        Some(ticket) => id_of_ticket(&ticket.to_string(), &spec.organisation.to_string()),
         None => JobId::from(rand::random::<u64>()),
     };
     let request = match translate(&spec) {
@@ -166,9 +166,9 @@
     (call, answer)
 }
 
-/// The identifier of the job that a ticket stands for.
-fn id_of_ticket(ticket: &str) -> JobId {
-    let digest = Sha256::digest(ticket.as_bytes());
+/// The identifier of the job that a ticket stands for; the same ticket of another organisation is another job.
+fn id_of_ticket(ticket: &str, organisation: &str) -> JobId {
+    let digest = Sha256::digest(format!("{organisation} {ticket}").as_bytes());
     let first = digest
         .iter()
         .take(8)
