--- /dev/null
+++ b/crates/control/src/serve.rs
@@ -0,0 +1,111 @@
+//! A node's life from start to stop.
+
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use poem::Server;
+use serde_json::Value;
+use thiserror::Error;
+
+use crate::configuration::follow_configuration;
+use crate::lead::{campaign, release_lead};
+use crate::listeners::{Listeners, accept_http};
+use crate::log::Log;
+use crate::node::{Node, NodeError};
+use crate::own::OwnInterface;
+use crate::peers::{follow_peers, serve_peers};
+use crate::requests::{Front, MetricsPage, Readiness};
+use crate::settings::Settings;
+use crate::stop::{StopSignals, wait_until_idle};
+
+/// A node that cannot start or go on.
+#[derive(Debug, Error)]
+pub enum ServeError {
+    /// Its parts cannot be made.
+    #[error(transparent)]
+    Node(#[from] NodeError),
+    /// An address cannot be served.
+    #[error("serving: {0}")]
+    Io(#[from] std::io::Error),
+}
+
+/// Runs a node until it is stopped by a signal.
+pub async fn serve(settings: Settings, log: Log) -> Result<(), ServeError> {
+    let listeners = Listeners::bind(&settings)?;
+    serve_on(listeners, settings, log).await
+}
+
+/// The same on sockets that are bound already.
+pub async fn serve_on(
+    listeners: Listeners,
+    settings: Settings,
+    log: Log,
+) -> Result<(), ServeError> {
+    let node = Arc::new(Node::new(settings, log)?);
+    let fields = [
+        (
+            "data_centre",
+            Value::from(node.settings.data_centre.as_str()),
+        ),
+        ("region", Value::from(node.settings.region.as_str())),
+    ];
+    node.log.general("node", "started", &fields);
+    let signals = StopSignals::listen()?;
+    tokio::spawn(follow_configuration(node.clone()));
+    tokio::spawn(campaign(node.clone()));
+    if let Some(address) = node.settings.peers {
+        tokio::spawn(follow_peers(node.clone(), address));
+    }
+    let front = tokio::spawn(
+        Server::new_with_acceptor(accept_http(listeners.callers)?).run(Front(node.clone())),
+    );
+    let readiness = tokio::spawn(
+        Server::new_with_acceptor(accept_http(listeners.readiness)?).run(Readiness(node.clone())),
+    );
+    let metrics = tokio::spawn(
+        Server::new_with_acceptor(accept_http(listeners.metrics)?).run(MetricsPage(node.clone())),
+    );
+    let peers = serve_peers_if_asked(&node, listeners.peers);
+    let own = serve_own_if_asked(&node, listeners.own);
+    tokio::select! {
+        result = own => return Ok(result?),
+        result = peers => return Ok(result?),
+        result = front => return Ok(result.map_err(std::io::Error::other)??),
+        result = readiness => return Ok(result.map_err(std::io::Error::other)??),
+        result = metrics => return Ok(result.map_err(std::io::Error::other)??),
+        () = signals.wait(&node.log) => {}
+    }
+    node.stopping.store(true, Ordering::Relaxed);
+    node.log.general("node", "stopping", &[]);
+    // Both at once: a store that does not answer must not take from the time that callers' requests have.
+    tokio::join!(wait_until_idle(&node), release_lead(&node));
+    node.log.general("node", "stopped", &[]);
+    Ok(())
+}
+
+/// Serves the product's own interface, on a node that listens for it.
+async fn serve_own_if_asked(
+    node: &Arc<Node>,
+    listener: Option<TcpListener>,
+) -> std::io::Result<()> {
+    match listener {
+        Some(listener) => {
+            Server::new_with_acceptor(accept_http(listener)?)
+                .run(OwnInterface(node.clone()))
+                .await
+        }
+        None => std::future::pending().await,
+    }
+}
+
+/// Serves peers' calls, on a node that listens for them.
+async fn serve_peers_if_asked(
+    node: &Arc<Node>,
+    listener: Option<TcpListener>,
+) -> std::io::Result<()> {
+    match listener {
+        Some(listener) => serve_peers(node.clone(), listener).await,
+        None => std::future::pending().await,
+    }
+}
