--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddrV4;
 
-use jsonc_parser::ParseOptions;
+use model::document::strict_options;
 use serde::Deserialize;
 use thiserror::Error;
 
@@ -121,22 +121,6 @@
     pub bounds: Bounds,
 }
 
-/// JSON with comments and trailing commas, and no other liberties.
-fn strict_options() -> ParseOptions {
-    ParseOptions {
-        allow_comments: true,
-        allow_trailing_commas: true,
-        allow_loose_object_property_names: false,
-        allow_missing_commas: false,
-        allow_single_quoted_strings: false,
-        allow_hexadecimal_numbers: false,
-        allow_unary_plus_numbers: false,
-        allow_bare_decimal_point_numbers: false,
-        allow_non_finite_numbers: false,
-        allow_extended_string_escapes: false,
-    }
-}
-
 impl Settings {
     /// Reads and checks a settings file; all findings are reported together.
     pub fn parse(file: &str, text: &str) -> Result<Settings, Vec<Finding>> {
--- a/crates/control/tests/own_interface.rs
+++ b/crates/control/tests/own_interface.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use platform_standin::{StoreFault, configuration};
+use platform_standin::{StoreFault, configuration_of};
 use reqwest::{Method, Response};
 use rstest::rstest;
 use serde_json::{Value, json};
@@ -98,12 +98,8 @@
 async fn job_of_another_organisation_is_not_shown() {
     let site = Site::start(1, LONG).await;
     let (_, accepted) = submit(&site, gang(1, "rack")).await;
-    let mut text: Value = serde_json::from_str(&configuration(2, &[KEY])).unwrap();
-    let mut other = text["tenants"][0].clone();
-    other["name"] = json!("plant");
-    other["api_keys"] = json!(["plant-key"]);
-    text["tenants"].as_array_mut().unwrap().push(other);
-    site.store.write("op/config", &text.to_string());
+    let two = [("desk", &[KEY][..]), ("plant", &["plant-key"][..])];
+    site.store.write("op/config", &configuration_of(2, &two));
     let path = format!("/v1/jobs/{}", accepted["job"].as_str().unwrap());
     site.wait("the key is known", async |site| {
         call(site, Method::GET, &path, "plant-key", Value::Null)
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -72,15 +72,20 @@
         .build()
 }
 
+/// Reads a settings file; prints why it cannot be read.
+fn read_file(path: &std::path::Path) -> Result<String, ExitCode> {
+    std::fs::read_to_string(path).map_err(|e| {
+        eprintln!("{}: {e}", path.display());
+        ExitCode::from(EXIT_USAGE)
+    })
+}
+
 /// Reads the settings and runs a node until a signal stops it.
 fn run(path: &std::path::Path, check: bool) -> ExitCode {
     let file = path.display().to_string();
-    let text = match std::fs::read_to_string(path) {
+    let text = match read_file(path) {
         Ok(text) => text,
-        Err(e) => {
-            eprintln!("{file}: {e}");
-            return ExitCode::from(EXIT_USAGE);
-        }
+        Err(code) => return code,
     };
     let settings = match Settings::parse(&file, &text) {
         Ok(settings) => settings,
@@ -108,12 +113,9 @@
 /// Reads the settings and runs a node on the platform, on one thread, until a signal stops it.
 fn serve(path: &std::path::Path, check: bool) -> ExitCode {
     let file = path.display().to_string();
-    let text = match std::fs::read_to_string(path) {
+    let text = match read_file(path) {
         Ok(text) => text,
-        Err(e) => {
-            eprintln!("{file}: {e}");
-            return ExitCode::from(EXIT_USAGE);
-        }
+        Err(code) => return code,
     };
     let settings = match control::Settings::parse(&file, &text) {
         Ok(settings) => settings,
--- a/crates/model/src/document.rs
+++ b/crates/model/src/document.rs
@@ -54,7 +54,7 @@
 }
 
 /// JSON with comments and trailing commas, and nothing looser.
-fn strict_options() -> ParseOptions {
+pub fn strict_options() -> ParseOptions {
     ParseOptions {
         allow_comments: true,
         allow_trailing_commas: true,
