--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -254,11 +254,14 @@
 
     /// Handles a run that is over although no worker reported its outcome.
     pub(crate) fn lose_task(&mut self, key: TaskKey, now_ms: u64) {
-        let Some(task) = self.task(key) else { return };
-        if matches!(task.phase, Phase::Ending { .. }) {
+        let Some(phase) = self.task(key).map(|task| task.phase) else {
+            return;
+        };
+        if matches!(phase, Phase::Ending { .. }) {
             return self.release_task(key, Phase::Done, now_ms);
         }
-        if !matches!(task.phase, Phase::Stopping { .. }) {
+        self.record_lost_run(key, now_ms);
+        if !matches!(phase, Phase::Stopping { .. }) {
             self.counts.lost += 1;
         }
         self.count_discarded_work(key, RunOutcome::Lapsed, now_ms);
@@ -269,6 +272,25 @@
         self.settle_job(key.group.job);
     }
 
+    fn record_lost_run(&mut self, key: TaskKey, now_ms: u64) {
+        let (Some(job), Some(task)) = (self.jobs.get(key.group.job), self.task(key)) else {
+            return;
+        };
+        let worker = task
+            .phase
+            .worker()
+            .and_then(|worker| self.workers.get(worker))
+            .map_or_else(String::new, |worker| worker.entry.id.clone());
+        let name = job.task_name(key.group.group as usize, key.index as usize);
+        let why = format!(
+            "task {name} run {} on worker {worker}, placed {} ms ago, confirmed: {}",
+            task.run,
+            now_ms.saturating_sub(task.placed_ms),
+            task.started_ms >= task.placed_ms,
+        );
+        self.record_decision(Some(job.stored.id), "run lost", why);
+    }
+
     /// Ends a job: stops all its tasks and releases its reservations.
     pub(crate) fn end_job(&mut self, key: JobKey, state: JobState, now_ms: u64) {
         let Some(job) = self.jobs.get_mut(key) else {
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -90,6 +90,8 @@
     pub percent: u32,
     /// When the task entered its phase.
     pub since_ms: u64,
+    /// When the current run was assigned to its worker.
+    pub placed_ms: u64,
     /// When the current run was confirmed, or the last one if none is running; 0 before the first.
     pub started_ms: u64,
     /// When the completed share last grew.
@@ -112,6 +114,7 @@
             pace_set_ms: 0,
             percent: 0,
             since_ms: now_ms,
+            placed_ms: 0,
             started_ms: 0,
             progressed_ms: 0,
             not_before_ms: 0,
--- a/crates/scheduler/src/planner.rs
+++ b/crates/scheduler/src/planner.rs
@@ -395,6 +395,7 @@
         task.last_metric = 0;
         (task.pace_percent, task.pace_set_ms) = (100, now_ms);
         task.since_ms = now_ms;
+        task.placed_ms = now_ms;
         task.progressed_ms = now_ms;
         if let Some(worker) = self.workers.get_mut(worker) {
             worker.used += need;
