Give up a task that crashes one worker after the other

Cause: a failed run counts only if a worker lists it. A crashed worker lists nothing, and its tasks were started anew without a count. The class of fault: a retry without a bound, because the outcome that bounds it is never reported.

Change: the record of a task counts the workers lost under it. A suspect starts on a worker of its own; after three crashes right after its start, or five losses in all, its job fails. The counts are written with the intent of the next start, so a take-over keeps them.

--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -62,6 +62,8 @@
     Preempted,
     /// Tasks lost because their worker's lease expired or its incarnation ended.
     TasksLost,
+    /// Jobs given up because a task crashed one worker after the other.
+    JobsGivenUp,
     /// Tasks that failed.
     TasksFailed,
     /// Tasks that ended because another member of their gang did.
--- a/crates/control/src/term.rs
+++ b/crates/control/src/term.rs
@@ -261,6 +261,7 @@
     node.metrics.set(Counter::StartsRefused, counts.refused);
     node.metrics.set(Counter::Preempted, counts.preempted);
     node.metrics.set(Counter::TasksLost, counts.lost);
+    node.metrics.set(Counter::JobsGivenUp, counts.given_up);
     node.metrics.set(Counter::TasksFailed, counts.failed);
     node.metrics.set(Counter::TasksBroken, counts.broken);
     node.metrics.set(Counter::TasksAlone, counts.alone);
--- /dev/null
+++ b/crates/scheduler/src/crashes.rs
@@ -0,0 +1,169 @@
+//! Counts the workers that crash under a task, keeps a task that may be the cause away from others, and gives up a task
+//! that crashes one worker after the other.
+//!
+//! A crashed worker reports no ends. All that it ran is suspect, most of all what it had just started.
+
+use serde::{Deserialize, Serialize};
+
+use crate::group::{GroupKey, Phase, TaskKey};
+use crate::job::{Job, JobState};
+use crate::planner::Planner;
+use crate::record::StoredWorker;
+use crate::worker::{Worker, WorkerKey};
+
+/// A worker that crashes within this time after it started a task may have crashed because of that task; a worker
+/// answers a renewal within 2 s.
+const START_PHASE_MS: u64 = 2_000;
+
+/// A task is given up after this many crashes within the start phase of its runs. Two are enough for the platform.
+const MAX_CRASHES_AT_START: u32 = 3;
+
+/// A task is given up after this many crashes at any time of its runs. The platform bears two starts after the third
+/// crash.
+const MAX_CRASHES: u32 = 5;
+
+/// A lasting task that has run for this long is no longer suspect.
+const LASTING_CLEARED_MS: u64 = 30_000;
+
+/// How long a suspect task waits for a worker on which nothing runs.
+const EMPTY_WORKER_WAIT_MS: u64 = 1_000;
+
+/// The workers lost under a task.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct CrashCounts {
+    /// Workers that crashed, or fell silent until their lease expired, while a run of the task was there.
+    pub all: u32,
+    /// Those that crashed within the start phase of the run.
+    pub at_start: u32,
+}
+
+impl CrashCounts {
+    /// Returns whether no worker was lost.
+    pub fn is_zero(&self) -> bool {
+        *self == CrashCounts::default()
+    }
+
+    /// Returns whether the task may be the cause, so that it has to run apart from others.
+    fn is_suspect(&self) -> bool {
+        self.at_start >= 1 || self.all >= 2
+    }
+
+    fn is_used_up(&self) -> bool {
+        self.at_start >= MAX_CRASHES_AT_START || self.all >= MAX_CRASHES
+    }
+}
+
+/// How a worker was lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum WorkerLoss {
+    /// Another incarnation has replaced it, and it had not announced that it leaves.
+    Crashed,
+    /// It fell silent until its lease expired; it may have crashed or be cut off.
+    Silent,
+}
+
+impl Planner {
+    /// Counts the loss of a worker for a task that runs or may run there. A task is not suspect for what happens after
+    /// its run has ended, or before its start is sent.
+    pub(crate) fn count_crash(&mut self, key: TaskKey, worker: WorkerKey, loss: WorkerLoss) {
+        let answered_ms = self.workers.get(worker).map_or(0, |w| w.answered_ms);
+        let Some(task) = self.task_mut(key) else {
+            return;
+        };
+        let at_start = answered_ms < task.began_ms() + START_PHASE_MS;
+        match task.phase {
+            Phase::Waiting | Phase::Assigned(_) | Phase::Ending { .. } | Phase::Done => {}
+            // When an earlier planner started it is unknown.
+            Phase::Inherited(_) => task.crashes.all += 1,
+            _ => {
+                task.crashes.all += 1;
+                task.crashes.at_start += u32::from(at_start && loss == WorkerLoss::Crashed);
+            }
+        }
+    }
+
+    /// Counts the loss of the worker that ran a task in an earlier term, if another incarnation has replaced it.
+    pub(crate) fn count_crash_before_term(&mut self, key: TaskKey, worker: Option<&StoredWorker>) {
+        if worker.is_some_and(|worker| !worker.leaving)
+            && let Some(task) = self.task_mut(key)
+        {
+            task.crashes.all += 1;
+        }
+    }
+
+    /// Fails a job with a task that has crashed too many workers. Returns whether it did.
+    pub(crate) fn give_up_if_crashing(&mut self, group: GroupKey, now_ms: u64) -> bool {
+        let Some(job) = self.jobs.get(group.job) else {
+            return false;
+        };
+        let tasks = &job.groups[group.group as usize].tasks;
+        let cause = (0..).zip(tasks).find(|(_, t)| t.crashes.is_used_up());
+        let Some((index, task)) = cause.filter(|_| !job.state.is_final()) else {
+            return false;
+        };
+        let why = format!(
+            "{} workers were lost under task {}, {} of them right after its start",
+            task.crashes.all,
+            job.task_name(group.group as usize, index),
+            task.crashes.at_start
+        );
+        let id = job.stored.id;
+        self.counts.given_up += 1;
+        self.record_decision(Some(id), "given up", why);
+        self.end_job(group.job, JobState::Failed, now_ms);
+        true
+    }
+
+    /// Clears a lasting task that has run for long.
+    pub(crate) fn clear_suspicion(&mut self, key: TaskKey, now_ms: u64) {
+        let job = &self.jobs[key.group.job];
+        if !job.step_of(key.group.group as usize).lasting {
+            return;
+        }
+        if let Some(task) = self.task_mut(key)
+            && now_ms >= task.began_ms() + LASTING_CLEARED_MS
+        {
+            task.crashes = CrashCounts::default();
+        }
+    }
+
+    /// Returns whether a suspect task on a worker forbids to start anything else there: during its start phase, or as
+    /// long as it runs if not all of its crashes were in that phase.
+    pub(crate) fn is_held_by_suspect(&self, worker: &Worker) -> bool {
+        worker.suspects.iter().any(|key| {
+            self.task(*key).is_some_and(|task| {
+                task.crashes.all > task.crashes.at_start
+                    || worker.answered_ms < task.began_ms() + START_PHASE_MS
+            })
+        })
+    }
+
+    /// Returns whether a task has to start on a worker on which nothing runs. It does not wait for one forever.
+    pub(crate) fn needs_empty_worker(&self, key: TaskKey, now_ms: u64) -> bool {
+        let Some(job) = self.jobs.get(key.group.job) else {
+            return false;
+        };
+        self.is_suspect(job, key)
+            && job.groups[key.group.group as usize].tasks[key.index as usize].since_ms
+                + EMPTY_WORKER_WAIT_MS
+                > now_ms
+    }
+
+    /// Returns whether a task, or its gang, may have crashed a worker.
+    pub(crate) fn is_suspect(&self, job: &Job, key: TaskKey) -> bool {
+        let group = key.group.group as usize;
+        let tasks = &job.groups[group].tasks;
+        match job.step_of(group).gang {
+            true => tasks.iter().any(|task| task.crashes.is_suspect()),
+            false => tasks[key.index as usize].crashes.is_suspect(),
+        }
+    }
+
+    /// Returns whether a task of a group has to start on a worker on which nothing runs.
+    pub(crate) fn waits_for_empty_workers(&self, group: GroupKey, now_ms: u64) -> bool {
+        self.list_tasks(group)
+            .into_iter()
+            .any(|task| self.needs_empty_worker(task, now_ms))
+    }
+}
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -269,6 +269,7 @@
         if self.is_gang(key.group) {
             self.tear_down_gang(key.group, now_ms);
         }
+        self.give_up_if_crashing(key.group, now_ms);
         self.settle_job(key.group.job);
     }
 
--- a/crates/scheduler/src/events.rs
+++ b/crates/scheduler/src/events.rs
@@ -3,6 +3,7 @@
 
 use std::collections::HashSet;
 
+use crate::crashes::WorkerLoss;
 use crate::group::{Phase, TaskKey};
 use crate::job::{Job, JobState};
 use crate::orders::Order;
@@ -168,8 +169,12 @@
             worker.entry.id,
             tasks.len()
         );
+        let crashed = !worker.entry.leaving && !worker.draining;
         self.record_decision(None, "worker gone", why);
         for task in tasks {
+            if crashed {
+                self.count_crash(task, key, WorkerLoss::Crashed);
+            }
             self.lose_task(task, now_ms);
         }
         if let Some(worker) = self.workers.remove(key)
@@ -337,6 +342,7 @@
             };
             task.started_ms = now_ms;
         }
+        self.clear_suspicion(key, now_ms);
         if fresh && gang {
             self.jobs[key.group.job].groups[key.group.group as usize].progress =
                 progress.to_string();
@@ -427,6 +433,7 @@
             );
             self.record_decision(None, "lease ended", why);
             for task in tasks {
+                self.count_crash(task, key, WorkerLoss::Silent);
                 self.lose_task(task, now_ms);
             }
         }
--- a/crates/scheduler/src/fit.rs
+++ b/crates/scheduler/src/fit.rs
@@ -17,6 +17,8 @@
     pub rack_free: i64,
     /// Whether runs failed on the worker recently; such workers are chosen last.
     pub recently_failed: bool,
+    /// Whether nothing runs on the worker, and nothing of the group was placed there.
+    pub empty: bool,
 }
 
 impl Candidate {
@@ -29,11 +31,12 @@
     pub fn place(&mut self, need: &Resources) {
         self.free -= *need;
         self.slots_left -= 1;
+        self.empty = false;
     }
 
     /// Returns the sort key; the lowest is the best: a worker without recent failures, on the rack with the fewest free
     /// accelerators, with the least free capacity left. This keeps whole racks free for gangs.
-    fn rank(&self, need: &Resources) -> (bool, i64, i64, i64) {
+    pub fn rank(&self, need: &Resources) -> (bool, i64, i64, i64) {
         let left = self.free.minus(need);
         (
             self.recently_failed,
@@ -118,6 +121,7 @@
             && !worker.unresponsive
             && worker.answered_ms + self.limits.unresponsive_ms >= now_ms
             && worker.health.is_trusted(now_ms)
+            && !self.is_held_by_suspect(worker)
     }
 
     /// Returns whether a worker can run tasks of a group at all, regardless of its free capacity.
@@ -171,6 +175,7 @@
                 slots_left: self.slots_left(group, worker),
                 rack_free: 0,
                 recently_failed: worker.health.has_recent_failure(),
+                empty: worker.is_empty(),
             });
         }
         for candidate in &mut candidates {
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -3,6 +3,7 @@
 use slotmap::new_key_type;
 
 use crate::advice::Tickets;
+use crate::crashes::CrashCounts;
 use crate::spec::StepSpec;
 use crate::worker::WorkerKey;
 
@@ -78,6 +79,8 @@
     pub run: u32,
     /// Number of failed runs.
     pub failed: u32,
+    /// Workers lost under the task.
+    pub crashes: CrashCounts,
     /// The last progress known to be saved; empty for none.
     pub progress: String,
     /// The metric that the worker last reported: tail latency in milliseconds for a serving task, otherwise the CPU in
@@ -90,7 +93,7 @@
     pub percent: u32,
     /// When the task entered its phase.
     pub since_ms: u64,
-    /// When the current run was assigned to its worker.
+    /// When the current run was assigned to its worker, or its start was sent.
     pub placed_ms: u64,
     /// When the current run was confirmed, or the last one if none is running; 0 before the first.
     pub started_ms: u64,
@@ -108,6 +111,7 @@
             phase: Phase::Waiting,
             run: 0,
             failed: 0,
+            crashes: CrashCounts::default(),
             progress: String::new(),
             last_metric: 0,
             pace_percent: 100,
@@ -121,6 +125,11 @@
             avoid: None,
         }
     }
+
+    /// Returns when the current run began, as far as it is known.
+    pub fn began_ms(&self) -> u64 {
+        self.started_ms.max(self.placed_ms)
+    }
 }
 
 /// Capacity reserved for a group on workers where it is not free yet.
--- a/crates/scheduler/src/headroom.rs
+++ b/crates/scheduler/src/headroom.rs
@@ -62,6 +62,7 @@
                 slots_left: u32::MAX,
                 rack_free: 0,
                 recently_failed: worker.health.has_recent_failure(),
+                empty: worker.is_empty(),
             })
             .collect();
         candidates.sort_by_key(|candidate| candidate.rack);
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -213,6 +213,7 @@
         .map(|task| TaskRecord {
             run: task.run,
             failed: task.failed,
+            crashes: task.crashes,
             done: matches!(task.phase, Phase::Done | Phase::Ending { .. }),
             worker: task.phase.worker().and_then(name),
             progress: if task.progress.is_empty() {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod advice;
 mod configuration;
+mod crashes;
 mod discarded_work;
 mod ends;
 mod events;
@@ -32,6 +33,7 @@
 mod worker;
 
 pub use configuration::{Advice, BodyLimits, Configuration, Denied, Organisation, Queue, Service};
+pub use crashes::CrashCounts;
 pub use group::{GroupKey, TaskKey};
 pub use job::JobState;
 pub use maintenance::{Machine, MaintenanceOutcome, MaintenanceWave, WaveProgress};
--- a/crates/scheduler/src/planner.rs
+++ b/crates/scheduler/src/planner.rs
@@ -66,6 +66,8 @@
     pub refused: u64,
     /// Calls that were unanswered.
     pub unanswered: u64,
+    /// Jobs that were given up because a task crashed one worker after the other.
+    pub given_up: u64,
     /// Work discarded by preempted runs, in core-milliseconds.
     pub discarded_preempted_core_ms: u64,
     /// The same by runs of cancelled or failed jobs.
@@ -256,7 +258,7 @@
             }
         }
         for (task, run) in flush.starts {
-            self.send_start(task, run);
+            self.send_start(task, run, now_ms);
         }
         for (worker, number) in flush.ends {
             if let Some(worker) = self.workers.get_mut(worker) {
@@ -278,7 +280,7 @@
     }
 
     /// Sends the start of a run whose assignment is in the store.
-    fn send_start(&mut self, key: TaskKey, run: u32) {
+    fn send_start(&mut self, key: TaskKey, run: u32, now_ms: u64) {
         let Some(task) = self.task_mut(key) else {
             return;
         };
@@ -292,6 +294,7 @@
             worker,
             unanswered: false,
         };
+        task.placed_ms = now_ms;
         self.counts.starts += 1;
         self.push_start(key, worker, false);
     }
@@ -397,9 +400,16 @@
         task.since_ms = now_ms;
         task.placed_ms = now_ms;
         task.progressed_ms = now_ms;
+        let suspect = self
+            .jobs
+            .get(key.group.job)
+            .is_some_and(|job| self.is_suspect(job, key));
         if let Some(worker) = self.workers.get_mut(worker) {
             worker.used += need;
             worker.tasks.insert(key, run);
+            if suspect {
+                worker.suspects.push(key);
+            }
         }
         self.mark_dirty(key.group.job);
     }
@@ -417,6 +427,7 @@
             && worker.tasks.remove(&key).is_some()
         {
             worker.used -= need;
+            worker.suspects.retain(|suspect| *suspect != key);
         }
         self.mark_dirty(key.group.job);
     }
--- a/crates/scheduler/src/preempt.rs
+++ b/crates/scheduler/src/preempt.rs
@@ -47,7 +47,10 @@
             return Vec::new();
         };
         let group_state = &job.groups[group.group as usize];
-        if job.stored.priority != 0 || group_state.teardown_since_ms.is_some() {
+        if job.stored.priority != 0
+            || group_state.teardown_since_ms.is_some()
+            || self.waits_for_empty_workers(group, now_ms)
+        {
             return Vec::new();
         }
         let waiting: Vec<u32> = (0..)
--- a/crates/scheduler/src/record.rs
+++ b/crates/scheduler/src/record.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::configuration::Advice;
+use crate::crashes::CrashCounts;
 use crate::job::JobState;
 use crate::spec::JobRequest;
 use crate::task::JobId;
@@ -76,6 +77,9 @@
     pub run: u32,
     /// Number of failed runs.
     pub failed: u32,
+    /// Workers lost under the task.
+    #[serde(skip_serializing_if = "CrashCounts::is_zero")]
+    pub crashes: CrashCounts,
     /// Whether the task is done.
     pub done: bool,
     /// The worker that may be running it.
--- a/crates/scheduler/src/restore.rs
+++ b/crates/scheduler/src/restore.rs
@@ -29,7 +29,11 @@
         job.ended_unix_ms = record.ended_unix_ms;
         job.state = record.state;
         if record.state.is_final() {
-            self.finish_ended_job(key, now_ms);
+            return self.finish_ended_job(key, now_ms);
+        }
+        let groups = self.jobs[key].groups.len() as u32;
+        for group in (0..groups).map(|group| GroupKey { job: key, group }) {
+            self.give_up_if_crashing(group, now_ms);
         }
     }
 
@@ -84,6 +88,7 @@
             if let Some(restored) = self.task_mut(key) {
                 restored.run = task.run;
                 restored.failed = task.failed;
+                restored.crashes = task.crashes;
                 restored.progress = task.progress.clone();
                 restored.phase = if task.done {
                     Phase::Done
@@ -110,7 +115,8 @@
                         now_ms,
                     );
                 }
-                (None, _) => {}
+                (None, false) => self.count_crash_before_term(key, task.worker.as_ref()),
+                (None, true) => {}
             }
         }
         // The earlier planner may have stopped in the middle of tearing down a gang.
--- a/crates/scheduler/src/schedule.rs
+++ b/crates/scheduler/src/schedule.rs
@@ -186,6 +186,10 @@
             let rack = self.racks.find(rack);
             candidates.retain(|candidate| Some(candidate.rack) == rack);
         }
+        let needs_empty_workers = self.waits_for_empty_workers(group, now_ms);
+        if needs_empty_workers {
+            candidates.retain(|candidate| candidate.empty);
+        }
         let mut places = find_places_on_one_rack(&candidates, &need, count);
         let mut failed = on_one_rack;
         if places.is_none()
@@ -199,7 +203,9 @@
                 let places: Vec<(u32, WorkerKey)> = (0..).zip(places).collect();
                 self.assign_group(group, &places, now_ms);
             }
-            None if self.is_unrestricted(group) => withheld.unplaceable.record(failed),
+            None if self.is_unrestricted(group) && !needs_empty_workers => {
+                withheld.unplaceable.record(failed)
+            }
             None => {}
         }
     }
@@ -254,7 +260,7 @@
                 candidates.retain(|candidate| candidate.rack == rack);
             }
         }
-        let mut places = Vec::new();
+        let mut places = self.place_suspects(group, &mut candidates, now_ms);
         for (index, task) in job.groups[group.group as usize].tasks.iter().enumerate() {
             if task.phase != Phase::Waiting || task.not_before_ms > now_ms {
                 continue;
@@ -265,6 +271,13 @@
             {
                 candidate.recently_failed = true;
             }
+            let key = TaskKey {
+                group,
+                index: index as u32,
+            };
+            if self.is_suspect(job, key) {
+                continue;
+            }
             let Some(best) = find_best_candidate(&candidates, &need) else {
                 if self.is_unrestricted(group) {
                     withheld.unplaceable.record(shape);
@@ -277,6 +290,38 @@
         self.assign_group(group, &places, now_ms);
     }
 
+    /// Places each task of a group that may crash its worker on one that gets nothing else in this pass.
+    fn place_suspects(
+        &self,
+        group: GroupKey,
+        candidates: &mut [Candidate],
+        now_ms: u64,
+    ) -> Vec<(u32, WorkerKey)> {
+        let job = &self.jobs[group.job];
+        let need = self.need(group);
+        let mut places = Vec::new();
+        for (index, task) in (0..).zip(&job.groups[group.group as usize].tasks) {
+            let key = TaskKey { group, index };
+            if task.phase != Phase::Waiting
+                || task.not_before_ms > now_ms
+                || !self.is_suspect(job, key)
+            {
+                continue;
+            }
+            let needs_empty = self.needs_empty_worker(key, now_ms);
+            let best = candidates
+                .iter_mut()
+                .filter(|candidate| candidate.accepts(&need) && (candidate.empty || !needs_empty))
+                .min_by_key(|candidate| (!candidate.empty, candidate.rank(&need)));
+            if let Some(candidate) = best {
+                candidate.place(&need);
+                candidate.slots_left = 0;
+                places.push((index, candidate.worker));
+            }
+        }
+        places
+    }
+
     /// Assigns tasks of a group to workers; their starts are sent once the assignment is in the store.
     pub(crate) fn assign_group(
         &mut self,
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -196,6 +196,8 @@
     pub tasks: HashMap<TaskKey, u32>,
     /// Orphaned runs, with the resources that they occupy.
     pub orphaned_runs: HashMap<(TaskName, u32), Resources>,
+    /// Those of its tasks that may crash it.
+    pub suspects: Vec<TaskKey>,
     pub health: Health,
 }
 
@@ -221,6 +223,7 @@
             reserved: Resources::default(),
             tasks: HashMap::new(),
             orphaned_runs: HashMap::new(),
+            suspects: Vec::new(),
             health: Health::default(),
         }
     }
@@ -241,6 +244,13 @@
         }
     }
 
+    /// Returns whether nothing runs there and no capacity is reserved.
+    pub fn is_empty(&self) -> bool {
+        self.tasks.is_empty()
+            && self.orphaned_runs.is_empty()
+            && self.reserved == Resources::default()
+    }
+
     /// Returns the resources that are neither occupied nor reserved.
     pub fn free(&self) -> Resources {
         let orphaned_runs = self
--- /dev/null
+++ b/crates/scheduler/tests/crashes.rs
@@ -0,0 +1,477 @@
+//! Tasks that crash the workers that run them, on a simulated site.
+//!
+//! Guards against such a task crashing one worker after the other, and against giving up a task that only ran beside
+//! one. A crashed worker reports no ends; the planner learns of the crash from the worker's next incarnation, or from
+//! its silence.
+
+mod support;
+
+use std::collections::HashMap;
+
+use rstest::rstest;
+use scheduler::prelude::*;
+use scheduler::{
+    ActiveRun, EndedRun, JobId, JobRecord, JobState, RunOutcome, StepSpec, StoredJob, TaskName,
+};
+use support::{Harness, entry, job, limits, step, worker_of};
+
+/// The most starts of a task that crashes every worker: the platform bears two after the third crash.
+const MAX_STARTS: usize = 5;
+
+const TICK_MS: u64 = 100;
+
+/// How long a worker that crashed is away; shorter than a lease.
+const AWAY_MS: u64 = 3_300;
+
+/// How long a worker is away whose lease expires first.
+const LONG_AWAY_MS: u64 = 16_000;
+
+/// How long a task runs that crashes nothing.
+const WORK_MS: u64 = 2_000;
+
+#[derive(Debug)]
+struct SimRun {
+    active: ActiveRun,
+    began_ms: u64,
+}
+
+#[derive(Debug)]
+struct SimWorker {
+    key: WorkerKey,
+    /// Number of crashes so far.
+    crashes: u64,
+    leaving: bool,
+    /// When it is back, if it is down.
+    back_ms: Option<u64>,
+    runs: Vec<SimRun>,
+    ended: Vec<EndedRun>,
+}
+
+/// A planner and workers that crash some time after the start of a deadly task.
+struct Site {
+    harness: Harness,
+    workers: Vec<SimWorker>,
+    stored: Vec<StoredJob>,
+    records: HashMap<JobId, JobRecord>,
+    starts: HashMap<TaskName, usize>,
+    is_deadly: fn(&TaskName) -> bool,
+    /// How long a worker survives the start of a deadly task.
+    survives_ms: u64,
+    away_ms: u64,
+    /// How long a task runs that crashes nothing.
+    work_ms: u64,
+    /// Whether another planner takes over each time a worker crashes.
+    takes_over: bool,
+}
+
+impl Site {
+    fn new(workers: u32, is_deadly: fn(&TaskName) -> bool) -> Site {
+        let harness = Harness::with_workers(workers);
+        Site {
+            workers: harness
+                .workers
+                .iter()
+                .map(|key| SimWorker {
+                    key: *key,
+                    crashes: 0,
+                    leaving: false,
+                    back_ms: None,
+                    runs: Vec::new(),
+                    ended: Vec::new(),
+                })
+                .collect(),
+            harness,
+            stored: Vec::new(),
+            records: HashMap::new(),
+            starts: HashMap::new(),
+            is_deadly,
+            survives_ms: 10,
+            away_ms: AWAY_MS,
+            work_ms: WORK_MS,
+            takes_over: false,
+        }
+    }
+
+    fn add(&mut self, stored: StoredJob) {
+        let order = self.stored.len() as u64;
+        self.stored.push(stored.clone());
+        self.harness
+            .planner
+            .add_job(stored, order, self.harness.now_ms);
+    }
+
+    fn play(&mut self, ms: u64) {
+        for _ in 0..ms / TICK_MS {
+            self.tick();
+        }
+    }
+
+    fn tick(&mut self) {
+        self.harness.now_ms += TICK_MS;
+        let now_ms = self.harness.now_ms;
+        let mut crashed = false;
+        for index in 0..self.workers.len() {
+            self.bring_back(index);
+            crashed |= self.crash_if_due(index);
+            self.end_due_runs(index);
+        }
+        if crashed && self.takes_over {
+            self.take_over();
+        }
+        self.list();
+        for index in 0..self.workers.len() {
+            self.report(index);
+        }
+        self.harness.planner.plan(now_ms, now_ms);
+        let flush = self.harness.planner.begin_flush(now_ms);
+        for write in &flush.writes {
+            self.records.insert(write.job, write.record.clone());
+        }
+        self.harness.planner.complete_flush(flush, now_ms);
+        for order in self.harness.take_orders() {
+            self.carry_out(&order);
+        }
+    }
+
+    fn bring_back(&mut self, index: usize) {
+        let worker = &mut self.workers[index];
+        if worker.back_ms.is_some_and(|at| at <= self.harness.now_ms) {
+            worker.back_ms = None;
+            worker.crashes += 1;
+            worker.leaving = false;
+            worker.ended.clear();
+        }
+    }
+
+    fn crash_if_due(&mut self, index: usize) -> bool {
+        let now_ms = self.harness.now_ms;
+        let is_due = self.workers[index].runs.iter().any(|run| {
+            (self.is_deadly)(&run.active.task) && now_ms >= run.began_ms + self.survives_ms
+        });
+        if is_due {
+            self.crash(index);
+        }
+        is_due
+    }
+
+    fn crash(&mut self, index: usize) {
+        let lost = std::mem::take(&mut self.workers[index].runs);
+        self.workers[index].back_ms = Some(self.harness.now_ms + self.away_ms);
+        for run in lost {
+            if self.is_gang(run.active.task) {
+                self.break_gang(run.active.task);
+            }
+        }
+    }
+
+    fn is_gang(&self, task: TaskName) -> bool {
+        let stored = self.stored.iter().find(|stored| stored.id == task.job);
+        stored.is_some_and(|stored| stored.request.steps[task.step as usize].gang)
+    }
+
+    fn break_gang(&mut self, lost: TaskName) {
+        for worker in &mut self.workers {
+            let members = worker
+                .runs
+                .extract_if(.., |run| run.active.task.job == lost.job);
+            for run in members {
+                worker
+                    .ended
+                    .push(end(&run, worker.ended.len(), RunOutcome::Broken));
+            }
+        }
+    }
+
+    fn end_due_runs(&mut self, index: usize) {
+        let now_ms = self.harness.now_ms;
+        let due: Vec<TaskName> = self.workers[index]
+            .runs
+            .iter()
+            .filter(|run| now_ms >= run.began_ms + self.work_ms)
+            .map(|run| run.active.task)
+            .filter(|task| !self.crashes_workers(*task))
+            .collect();
+        let worker = &mut self.workers[index];
+        for run in worker
+            .runs
+            .extract_if(.., |run| due.contains(&run.active.task))
+        {
+            worker
+                .ended
+                .push(end(&run, worker.ended.len(), RunOutcome::Done));
+        }
+    }
+
+    /// Returns whether a task, or another member of its gang, crashes its worker.
+    fn crashes_workers(&self, task: TaskName) -> bool {
+        let first = TaskName { index: 0, ..task };
+        (self.is_deadly)(&task) || self.is_gang(task) && (self.is_deadly)(&first)
+    }
+
+    fn list(&mut self) {
+        let entries = (0..)
+            .zip(&self.workers)
+            .map(|(number, worker)| WorkerEntry {
+                id: format!("i-{number}-{}", worker.crashes),
+                born_unix_ms: 1_000 + worker.crashes,
+                leaving: worker.leaving,
+                ..entry(number)
+            })
+            .collect();
+        self.harness.list(entries);
+        for key in self.harness.workers.clone() {
+            let Some(listed) = self.harness.planner.entry(key) else {
+                continue;
+            };
+            let number = listed.id.split('-').nth(1).unwrap();
+            self.workers[number.parse::<usize>().unwrap()].key = key;
+        }
+    }
+
+    fn report(&mut self, index: usize) {
+        let worker = &self.workers[index];
+        if worker.back_ms.is_some() {
+            self.harness
+                .planner
+                .record_unanswered_renewal(worker.key, false);
+            return;
+        }
+        let report = RenewalReport {
+            sent_ms: self.harness.now_ms,
+            received_ms: self.harness.now_ms,
+            worker_clock_ms: 500_000 + self.harness.now_ms,
+            born_unix_ms: Some(1_000 + worker.crashes),
+            running: worker.runs.iter().map(|run| run.active.clone()).collect(),
+            ended: worker.ended.clone(),
+        };
+        self.harness.planner.apply_report(worker.key, &report);
+    }
+
+    fn carry_out(&mut self, order: &Order) {
+        let key = worker_of(order);
+        let began_ms = self.harness.now_ms;
+        let worker = self.workers.iter_mut().find(|worker| worker.key == key);
+        let Some(worker) = worker.filter(|worker| worker.back_ms.is_none()) else {
+            return;
+        };
+        match order {
+            Order::Start { task, run, .. } => {
+                *self.starts.entry(*task).or_default() += 1;
+                let active = ActiveRun {
+                    task: *task,
+                    run: *run,
+                    progress: String::new(),
+                    percent: 0,
+                    metric: 0,
+                };
+                worker.runs.push(SimRun { active, began_ms });
+                self.harness.confirm(order);
+            }
+            Order::Stop { task, run, .. } => worker
+                .runs
+                .retain(|active| (active.active.task, active.active.run) != (*task, *run)),
+            _ => {}
+        }
+    }
+
+    /// Replaces the planner by one that knows only what is in the store.
+    fn take_over(&mut self) {
+        let now_ms = self.harness.now_ms;
+        self.harness.planner = Planner::new(limits(), now_ms);
+        self.harness.workers.clear();
+        self.list();
+        for (order, stored) in (0..).zip(&self.stored) {
+            let record = self.records.get(&stored.id).cloned();
+            if record
+                .as_ref()
+                .is_some_and(|record| record.state.is_final())
+            {
+                continue;
+            }
+            self.harness
+                .planner
+                .restore_job(stored.clone(), record, order, now_ms);
+        }
+        let assumed = self.harness.planner.take_unpolled();
+        self.harness.workers.extend(assumed);
+    }
+
+    fn state(&self, id: u64) -> JobState {
+        let id: JobId = format!("{id:016x}").parse().unwrap();
+        self.records
+            .get(&id)
+            .map_or(JobState::Pending, |record| record.state)
+    }
+
+    fn most_starts(&self) -> usize {
+        self.starts.values().copied().max().unwrap_or(0)
+    }
+}
+
+fn end(run: &SimRun, before: usize, outcome: RunOutcome) -> EndedRun {
+    EndedRun {
+        number: before as u64 + 1,
+        task: Some(run.active.task),
+        run: run.active.run,
+        outcome,
+        progress: String::new(),
+    }
+}
+
+fn is_first_of_job_1(task: &TaskName) -> bool {
+    task.to_string() == format!("{:016x}.0.0.0", 1)
+}
+
+fn gang(count: u32, accelerators: i64) -> StepSpec {
+    StepSpec {
+        gang: true,
+        ..step(count, accelerators)
+    }
+}
+
+fn lasting(count: u32) -> StepSpec {
+    StepSpec {
+        lasting: true,
+        ..step(count, 1)
+    }
+}
+
+#[rstest]
+#[case::single_task(step(1, 1))]
+#[case::beside_others(step(12, 1))]
+#[case::gang(gang(1, 8))]
+#[case::gang_on_several_workers(gang(3, 8))]
+#[case::lasting(lasting(2))]
+fn give_up_task_that_crashes_workers(
+    #[case] step: StepSpec,
+    #[values(10, 1_000, 5_000)] survives_ms: u64,
+    #[values(AWAY_MS, LONG_AWAY_MS)] away_ms: u64,
+    #[values(false, true)] takes_over: bool,
+) {
+    let mut site = Site::new(16, is_first_of_job_1);
+    site.survives_ms = survives_ms;
+    site.away_ms = away_ms;
+    site.takes_over = takes_over;
+    site.add(job(1, 1, vec![step]));
+    site.play(240_000);
+    let deadly = site.starts.iter().find(|(task, _)| is_first_of_job_1(task));
+    let starts = deadly.map_or(0, |(_, starts)| *starts);
+    assert!(starts <= MAX_STARTS, "{starts} starts");
+    assert_eq!(site.state(1), JobState::Failed);
+}
+
+#[rstest]
+#[case::one_of_many(6, 16)]
+#[case::crowded(12, 3)]
+fn complete_tasks_beside_one_that_crashes_workers(#[case] jobs: u64, #[case] workers: u32) {
+    let mut site = Site::new(workers, is_first_of_job_1);
+    for id in 1..=jobs {
+        site.add(job(id, 1, vec![step(4, 1)]));
+    }
+    site.play(120_000);
+    for id in 2..=jobs {
+        assert_eq!(site.state(id), JobState::Completed, "job {id}");
+    }
+    assert_eq!(site.state(1), JobState::Failed);
+    assert!(site.most_starts() <= MAX_STARTS);
+}
+
+fn is_never(_: &TaskName) -> bool {
+    false
+}
+
+/// Plays until a worker runs something for `age_ms`; returns its index.
+fn find_busy_worker(site: &mut Site, age_ms: u64) -> usize {
+    for _ in 0..1_000 {
+        site.tick();
+        let now_ms = site.harness.now_ms;
+        let busy = site.workers.iter().position(|worker| {
+            let mut runs = worker.runs.iter();
+            runs.any(|run| now_ms >= run.began_ms + age_ms)
+        });
+        if let Some(busy) = busy {
+            return busy;
+        }
+    }
+    panic!("nothing runs for {age_ms} ms");
+}
+
+#[rstest]
+#[case::soon_after_its_start(2, 100, AWAY_MS, step(1, 1))]
+#[case::later(4, 2_500, AWAY_MS, step(1, 1))]
+#[case::cut_off_soon_after_its_start(4, 100, LONG_AWAY_MS, step(1, 1))]
+#[case::gang_soon_after_its_start(2, 100, AWAY_MS, gang(3, 8))]
+fn complete_task_whose_workers_crash_by_chance(
+    #[case] crashes: usize,
+    #[case] age_ms: u64,
+    #[case] away_ms: u64,
+    #[case] step: StepSpec,
+) {
+    let mut site = Site::new(8, is_never);
+    site.work_ms = 4_000;
+    site.away_ms = away_ms;
+    site.add(job(1, 1, vec![step]));
+    for _ in 0..crashes {
+        let busy = find_busy_worker(&mut site, age_ms);
+        site.crash(busy);
+    }
+    site.play(60_000);
+    assert_eq!(site.state(1), JobState::Completed);
+}
+
+#[test]
+fn keep_lasting_task_whose_workers_crash_now_and_then() {
+    let mut site = Site::new(8, is_never);
+    site.work_ms = u64::MAX / 2;
+    site.add(job(1, 1, vec![lasting(1)]));
+    for _ in 0..20 {
+        let busy = find_busy_worker(&mut site, 60_000);
+        site.crash(busy);
+    }
+    site.play(60_000);
+    assert_eq!(site.state(1), JobState::Running);
+}
+
+#[test]
+fn leave_workers_without_suspicion() {
+    let mut site = Site::new(8, is_never);
+    site.work_ms = 4_000;
+    site.add(job(1, 1, vec![step(1, 1)]));
+    for _ in 0..2 * MAX_STARTS {
+        let busy = find_busy_worker(&mut site, 100);
+        site.workers[busy].leaving = true;
+        site.tick();
+        site.crash(busy);
+    }
+    site.play(60_000);
+    assert_eq!(site.state(1), JobState::Completed);
+}
+
+#[test]
+fn start_nothing_beside_suspect_in_its_start_phase() {
+    let mut site = Site::new(2, is_first_of_job_1);
+    site.survives_ms = 1_500;
+    site.add(job(1, 1, vec![step(1, 1)]));
+    let deadly = find_busy_worker(&mut site, 1_000);
+    site.play(AWAY_MS + 2_000);
+    let again = find_busy_worker(&mut site, 0);
+    for id in 2..6 {
+        site.add(job(id, 1, vec![step(1, 1)]));
+    }
+    site.play(1_000);
+    assert_eq!(site.workers[again].runs.len(), 1, "first crash on {deadly}");
+    assert_eq!(site.workers[1 - again].runs.len(), 4);
+}
+
+#[test]
+fn start_suspects_without_empty_worker() {
+    let mut site = Site::new(2, is_never);
+    site.work_ms = 60_000;
+    site.add(job(1, 1, vec![step(2, 1)]));
+    let busy = find_busy_worker(&mut site, 100);
+    site.crash(busy);
+    site.add(job(2, 1, vec![step(4, 1)]));
+    site.play(AWAY_MS + 4_000);
+    let running: usize = site.workers.iter().map(|worker| worker.runs.len()).sum();
+    assert_eq!(running, 6, "suspects wait for a second, not forever");
+}
