Repeat a start only at the incarnation of the worker that it was sent to

Callers saw: nothing yet; found while looking for the cause of the repeated crashes elsewhere. A start that got no answer was repeated blindly; the next incarnation ran it as a new one, so that the crash counted for nothing, and a run that the planner then started elsewhere could be the second one.

Evidence: start_is_not_repeated_at_next_incarnation (workers over loopback that crash at each start and are back under the same id after 1 s) failed before with more than 5 starts and the job still running; it passed in 3 of 3 runs since.

--- a/crates/control/src/orders.rs
+++ b/crates/control/src/orders.rs
@@ -4,9 +4,12 @@
 use std::time::Duration;
 
 use adapter::{CallError, StartDetails, WorkerReply};
-use scheduler::{AdviceAnswer, GroupKey, Order, StartOutcome, StopOutcome, WorkerEntry, WorkerKey};
+use scheduler::{
+    AdviceAnswer, GroupKey, Order, StartOutcome, StopOutcome, TaskKey, WorkerEntry, WorkerKey,
+};
 
 use crate::clock::now_ms;
+use crate::lease_renewal::{RenewalOutcome, check_incarnation};
 use crate::metrics::{Counter, Timing};
 use crate::term::Term;
 
@@ -76,6 +79,7 @@
     let sent_ms = now_ms();
     match order {
         Order::Start {
+            worker,
             task_key,
             task,
             run,
@@ -85,6 +89,9 @@
             ..
         } => {
             let outcome = match lease_end_clock_ms {
+                Some(_) if again && !is_same_incarnation(&term, worker, task_key, run).await => {
+                    StartOutcome::NoAnswer
+                }
                 Some(lease_end_clock_ms) => {
                     while !term.is_lead_valid() {
                         tokio::time::sleep(Duration::from_millis(LEAD_POLL_MS)).await;
@@ -148,6 +155,13 @@
     term.wake.notify_one();
 }
 
+/// Returns whether a worker still is the incarnation to which a start was sent before, and the start is still due. The
+/// next incarnation may have the same id, and would take a repeated start for a new one.
+async fn is_same_incarnation(term: &Term, worker: WorkerKey, task: TaskKey, run: u32) -> bool {
+    check_incarnation(term, worker).await == RenewalOutcome::Answered
+        && term.lock_planner().is_starting(task, run)
+}
+
 /// Asks which workers may run a step, once no other query of this node is in flight.
 async fn request_advice(
     term: Arc<Term>,
--- a/crates/control/tests/recovery.rs
+++ b/crates/control/tests/recovery.rs
@@ -222,3 +222,24 @@
         .await;
     assert_eq!(site.audit.violations(), Vec::<String>::new());
 }
+
+/// The next incarnation of a crashed worker may have its id: a start that is repeated because it got no answer would
+/// crash that one, too, without ever being counted.
+#[tokio::test(flavor = "multi_thread")]
+async fn start_is_not_repeated_at_next_incarnation() {
+    let site = Site::start(3, LONG_RUN).await;
+    for worker in &site.workers {
+        worker.set_crashing(Duration::from_secs(1));
+    }
+    assert_eq!(site.submit(0, 1, 1).await, 200);
+    site.wait("the job has failed", async |site| {
+        for worker in &site.workers {
+            let (key, entry) = worker.entry();
+            site.store.write(&key, &entry);
+        }
+        site.audit.counts().1 > 5 || site.state(0, 1).await == "failed"
+    })
+    .await;
+    assert_eq!(site.state(0, 1).await, "failed");
+    assert_eq!(site.audit.violations(), Vec::<String>::new());
+}
--- a/crates/scheduler/src/outcomes.rs
+++ b/crates/scheduler/src/outcomes.rs
@@ -45,6 +45,12 @@
         }
     }
 
+    /// Returns whether a run was sent to a worker that has not confirmed it.
+    pub fn is_starting(&self, key: TaskKey, run: u32) -> bool {
+        self.task(key)
+            .is_some_and(|task| task.run == run && matches!(task.phase, Phase::Starting { .. }))
+    }
+
     fn confirm_start(&mut self, key: TaskKey, worker: WorkerKey, received_ms: u64) {
         let Some(task) = self.task_mut(key) else {
             return;
