Plan at once when a worker's capacity changes, and log the change

Callers would see: work that waits for a worker whose capacity grew starts up to 50 ms late, and a log that does not show the change.

Cause: a list of workers in which only a capacity differs did not count as a change, so planning waited for the next regular pass.

Evidence: changed_capacity_is_planned_with_at_once, both cases, failed before at has_changed().

Why this works: the entry is compared before it is replaced; a different capacity marks the planner as changed.

--- a/crates/scheduler/src/events.rs
+++ b/crates/scheduler/src/events.rs
@@ -96,6 +96,8 @@
 
     fn refresh_worker(&mut self, key: WorkerKey, entry: crate::WorkerEntry) {
         let worker = &mut self.workers[key];
+        let before = worker.entry.capacity;
+        let after = entry.capacity;
         if worker.entry.rack != entry.rack {
             worker.rack = self.racks.key(&entry.rack);
         }
@@ -112,6 +114,14 @@
         } else {
             worker.entry = entry;
         }
+        if before != after {
+            self.changed = true;
+            let why = format!(
+                "worker {}: {after:?}, before {before:?}",
+                self.workers[key].entry.id
+            );
+            self.record_decision(None, "worker capacity", why);
+        }
     }
 
     /// Marks the jobs on a leaving worker for storing, so that their records say that it leaves. A later planner that
