Withdraw starts that were not sent yet when their worker shrinks

Callers would see: a worker that does not guard its capacity is brought over it (LIMIT), by a start that was decided before the worker shrank and sent after its record was stored, which takes seconds while the store is slow.

Cause: room was checked only when a task was placed. Between that and the sending of the start the planner took in a smaller capacity without looking at what it had assigned.

Evidence: unsent_start_on_worker_that_shrank_is_withdrawn, unsent_starts_on_worker_that_shrank_are_withdrawn_least_urgent_first and unsent_gang_is_withdrawn_whole_if_one_worker_shrank failed before: all the starts were sent.

Why this works: when a capacity changes, assignments whose start was not sent are released, the least urgent first, until the rest fits; a gang is released whole, before any member was sent. What runs or may run is left alone.

--- a/crates/scheduler/src/events.rs
+++ b/crates/scheduler/src/events.rs
@@ -50,7 +50,7 @@
                 self.remove_incarnation(before, "a new incarnation has the same id", now_ms);
             }
             let key = same.unwrap_or_else(|| self.add_worker(entry.clone(), now_ms));
-            self.refresh_worker(key, entry);
+            self.refresh_worker(key, entry, now_ms);
             named.insert(key);
         }
         self.update_unlisted(&named, now_ms);
@@ -94,7 +94,7 @@
         key
     }
 
-    fn refresh_worker(&mut self, key: WorkerKey, entry: crate::WorkerEntry) {
+    fn refresh_worker(&mut self, key: WorkerKey, entry: crate::WorkerEntry, now_ms: u64) {
         let worker = &mut self.workers[key];
         let before = worker.entry.capacity;
         let after = entry.capacity;
@@ -121,6 +121,7 @@
                 self.workers[key].entry.id
             );
             self.record_decision(None, "worker capacity", why);
+            self.withdraw_unsent_starts(key, now_ms);
         }
     }
 
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -29,6 +29,7 @@
 mod task;
 mod unplaceable;
 mod urgent;
+mod withdraw;
 mod worker;
 
 pub use configuration::{Advice, BodyLimits, Configuration, Denied, Organisation, Queue, Service};
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -243,15 +243,21 @@
 
     /// Returns the resources that are neither occupied nor reserved.
     pub fn free(&self) -> Resources {
+        self.unoccupied().minus(&self.reserved)
+    }
+
+    /// Returns whether what occupies the worker exceeds its capacity, which may have shrunk.
+    pub fn is_overcommitted(&self) -> bool {
+        !Resources::default().fits(&self.unoccupied())
+    }
+
+    /// Returns the resources that nothing occupies.
+    fn unoccupied(&self) -> Resources {
         let orphaned_runs = self
             .orphaned_runs
             .values()
             .fold(Resources::default(), |sum, resources| sum + *resources);
-        self.entry
-            .capacity
-            .minus(&self.used)
-            .minus(&self.reserved)
-            .minus(&orphaned_runs)
+        self.entry.capacity.minus(&self.used).minus(&orphaned_runs)
     }
 
     /// Returns the stored form of this incarnation.
--- a/crates/scheduler/tests/capacity.rs
+++ b/crates/scheduler/tests/capacity.rs
@@ -16,12 +16,70 @@
     entry
 }
 
+fn gang(count: u32, accelerators: i64) -> StepSpec {
+    StepSpec {
+        gang: true,
+        ..step(count, accelerators)
+    }
+}
+
 fn add_job(harness: &mut Harness, id: u64, priority: u32, step: StepSpec) {
     harness
         .planner
         .add_job(job(id, priority, vec![step]), id, harness.now_ms);
 }
 
+#[test]
+fn unsent_start_on_worker_that_shrank_is_withdrawn() {
+    let mut harness = Harness::with_workers(1);
+    add_job(&mut harness, 1, 1, step(1, 8));
+    let (_, flush) = harness.plan_without_store();
+    harness.list(vec![resized(0, 4)]);
+    harness.planner.complete_flush(flush, harness.now_ms);
+    assert_eq!(starts(&harness.take_orders()), vec![]);
+    assert_eq!(starts(&harness.plan()), vec![]);
+    harness.list(vec![entry(0)]);
+    assert_eq!(
+        starts(&harness.plan()),
+        vec![(format!("{:016x}.0.0.0", 1), 2)]
+    );
+}
+
+#[test]
+fn unsent_starts_on_worker_that_shrank_are_withdrawn_least_urgent_first() {
+    let mut harness = Harness::with_workers(1);
+    for (id, priority) in [(1, 2), (2, 0), (3, 1), (4, 1)] {
+        add_job(&mut harness, id, priority, step(1, 2));
+    }
+    let (_, flush) = harness.plan_without_store();
+    harness.list(vec![resized(0, 4)]);
+    harness.planner.complete_flush(flush, harness.now_ms);
+    assert_eq!(
+        starts(&harness.take_orders()),
+        vec![
+            (format!("{:016x}.0.0.0", 2), 1),
+            (format!("{:016x}.0.0.0", 3), 1)
+        ]
+    );
+}
+
+#[test]
+fn unsent_gang_is_withdrawn_whole_if_one_worker_shrank() {
+    let mut harness = Harness::with_workers(2);
+    add_job(&mut harness, 1, 1, gang(2, 8));
+    let (_, flush) = harness.plan_without_store();
+    harness.list(vec![entry(0), resized(1, 7)]);
+    harness.planner.complete_flush(flush, harness.now_ms);
+    assert_eq!(starts(&harness.take_orders()), vec![]);
+    assert_eq!(starts(&harness.plan()), vec![]);
+    harness.list(vec![entry(0), entry(1)]);
+    let again = starts(&harness.plan());
+    assert_eq!(
+        again.iter().map(|(_, run)| *run).collect::<Vec<_>>(),
+        [2, 2]
+    );
+}
+
 #[rstest]
 #[case::shrunk(4)]
 #[case::grown(16)]
