Check before each start that is sent or repeated that its worker still has room

Callers would see: a worker that does not guard its capacity is brought over it (LIMIT). A start that gets no answer is sent again for as long as that lasts, and a first start waits while the lead is not confirmed; the worker may shrink meanwhile.

Cause: an order, once handed out, was sent whatever had become of its task or its worker. It was not withdrawn either when another member of its gang was.

Why this works: the planner is asked right before each call. A start that was never sent is released, with its gang. A call without an answer may still take effect, so its run is stopped, and counts until the worker has taken the stop and lists it no more. An order whose task has moved on is not sent.

--- a/crates/control/src/orders.rs
+++ b/crates/control/src/orders.rs
@@ -89,6 +89,14 @@
                     while !term.is_lead_valid() {
                         tokio::time::sleep(Duration::from_millis(LEAD_POLL_MS)).await;
                     }
+                    // The worker may have shrunk while the order waited.
+                    let sendable = term
+                        .lock_planner()
+                        .revalidate_start(task_key, run, now_ms());
+                    if !sendable {
+                        term.wake.notify_one();
+                        return;
+                    }
                     let details = StartDetails {
                         text: &text,
                         lease_end_clock_ms,
--- a/crates/scheduler/src/withdraw.rs
+++ b/crates/scheduler/src/withdraw.rs
@@ -24,13 +24,59 @@
         }
     }
 
+    /// Returns whether a start may still be sent; to be asked right before each call. A start whose worker has no room
+    /// for it any more, or whose gang is being torn down, is withdrawn. An earlier call that got no answer may still
+    /// take effect, so its run is stopped.
+    pub fn revalidate_start(&mut self, key: TaskKey, run: u32, now_ms: u64) -> bool {
+        let Some(task) = self.task(key) else {
+            return false;
+        };
+        let Phase::Starting { worker, unanswered } = task.phase else {
+            return false;
+        };
+        if task.run != run {
+            return false;
+        }
+        if self.has_room_for_start(key) {
+            return true;
+        }
+        if !unanswered && let Some(task) = self.task_mut(key) {
+            task.phase = Phase::Assigned(worker);
+        }
+        self.withdraw_start(key, now_ms);
+        false
+    }
+
+    /// Returns whether the worker of a starting task, and those of all starting members of its gang, hold what is
+    /// assigned to them.
+    fn has_room_for_start(&self, key: TaskKey) -> bool {
+        let members = match self.is_gang(key.group) {
+            true => self.list_tasks(key.group),
+            false => vec![key],
+        };
+        let torn_down = self.jobs[key.group.job].groups[key.group.group as usize]
+            .teardown_since_ms
+            .is_some();
+        !torn_down
+            && members
+                .into_iter()
+                .filter_map(|member| match self.task(member)?.phase {
+                    Phase::Starting { worker, .. } => self.workers.get(worker),
+                    _ => None,
+                })
+                .all(|worker| !worker.is_overcommitted())
+    }
+
     /// Withdraws the start of a task, and with it those of its gang.
     fn withdraw_start(&mut self, key: TaskKey, now_ms: u64) {
         let Some(job) = self.jobs.get(key.group.job) else {
             return;
         };
         let id = job.stored.id;
-        let why = format!("task {}: its worker has no room for it any more", key.index);
+        let why = format!(
+            "task {}: its worker, or that of a member of its gang, has too little room now",
+            key.index
+        );
         self.record_decision(Some(id), "start withdrawn", why);
         self.stop_task(key, now_ms);
         if self.is_gang(key.group) {
--- a/crates/scheduler/tests/capacity.rs
+++ b/crates/scheduler/tests/capacity.rs
@@ -6,8 +6,9 @@
 mod support;
 
 use rstest::rstest;
+use scheduler::StartOutcome;
 use scheduler::prelude::*;
-use support::{Harness, entry, job, starts, step};
+use support::{Harness, entry, job, starts, step, stops, worker_of};
 
 /// Returns a worker with this many accelerators, and otherwise with the usual capacity.
 fn resized(number: u32, accelerators: i64) -> WorkerEntry {
@@ -80,6 +81,57 @@
     );
 }
 
+#[test]
+fn start_held_back_until_worker_shrank_is_not_sent() {
+    let mut harness = Harness::with_workers(1);
+    add_job(&mut harness, 1, 1, step(1, 8));
+    let orders = harness.plan();
+    harness.list(vec![resized(0, 4)]);
+    assert_eq!(starts(&harness.send_held_back(orders)), vec![]);
+    assert_eq!(harness.plan(), vec![]);
+    harness.list(vec![entry(0)]);
+    let again = harness.plan();
+    assert_eq!(harness.send_held_back(again).len(), 1);
+}
+
+#[test]
+fn gang_held_back_until_one_worker_shrank_is_not_sent() {
+    let mut harness = Harness::with_workers(2);
+    add_job(&mut harness, 1, 1, gang(2, 8));
+    let orders = harness.plan();
+    harness.list(vec![entry(0), resized(1, 7)]);
+    assert_eq!(starts(&harness.send_held_back(orders)), vec![]);
+    assert_eq!(harness.plan(), vec![]);
+    harness.list(vec![entry(0), entry(1)]);
+    let again = harness.plan();
+    assert_eq!(harness.send_held_back(again).len(), 2);
+}
+
+#[test]
+fn unanswered_start_on_worker_that_shrank_is_stopped_instead_of_repeated() {
+    let mut harness = Harness::with_workers(2);
+    add_job(&mut harness, 1, 1, step(1, 8));
+    let orders = harness.plan();
+    let at = harness
+        .workers
+        .iter()
+        .position(|worker| *worker == worker_of(&orders[0]))
+        .unwrap();
+    let sent = harness.send_held_back(orders);
+    harness.report_start_outcome(&sent[0], StartOutcome::NoAnswer);
+    let repeated = harness.take_orders();
+    let mut entries = vec![entry(0), entry(1)];
+    entries[at].capacity.accelerators = 4;
+    harness.list(entries);
+    assert_eq!(starts(&harness.send_held_back(repeated)), vec![]);
+    let after = harness.plan();
+    assert_eq!(
+        (starts(&after), stops(&after)),
+        (vec![], vec![(format!("{:016x}.0.0.0", 1), 1)]),
+        "the unanswered call may still take effect"
+    );
+}
+
 #[rstest]
 #[case::shrunk(4)]
 #[case::grown(16)]
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -139,6 +139,20 @@
         orders
     }
 
+    /// Returns the orders that the process sends if it has held them back until now.
+    pub fn send_held_back(&mut self, orders: Vec<Order>) -> Vec<Order> {
+        let now_ms = self.now_ms;
+        orders
+            .into_iter()
+            .filter(|order| match order {
+                Order::Start { task_key, run, .. } => {
+                    self.planner.revalidate_start(*task_key, *run, now_ms)
+                }
+                _ => true,
+            })
+            .collect()
+    }
+
     /// Confirms a start on behalf of its worker.
     pub fn confirm(&mut self, order: &Order) {
         self.report_start_outcome(
