Let a run whose needs are unknown fill its worker whatever the worker's capacity becomes

Callers would see: a worker that does not guard its capacity is brought over it (LIMIT) beside a run that is still being stopped, if the worker's capacity grew, or its entry appeared after a takeover, between two answers of the worker.

Cause: such a run was counted with the capacity that the worker had when it listed the run. That capacity may be small, and it is zero for a worker that a successor has not found in the list yet.

Evidence: unknown_run_found_on_shrunk_worker_still_fills_it_once_it_has_grown failed before: a task was started beside the run.

Why this works: the run is kept with unknown needs, and the worker's present capacity is counted for it.

--- a/crates/scheduler/src/events.rs
+++ b/crates/scheduler/src/events.rs
@@ -356,18 +356,11 @@
 
     /// Stops runs that are not assigned to the worker, and counts the capacity that they occupy.
     fn stop_orphaned_runs(&mut self, key: WorkerKey, orphaned_runs: &HashSet<(TaskName, u32)>) {
-        let occupied: Vec<((TaskName, u32), Resources)> = orphaned_runs
+        let occupied: Vec<((TaskName, u32), Option<Resources>)> = orphaned_runs
             .iter()
             .map(|orphaned_run| {
                 let task = self.find_task(orphaned_run.0);
-                let whole = self
-                    .workers
-                    .get(key)
-                    .map_or_else(Resources::default, |w| w.entry.capacity);
-                (
-                    *orphaned_run,
-                    task.map_or(whole, |task| self.need(task.group)),
-                )
+                (*orphaned_run, task.map(|task| self.need(task.group)))
             })
             .collect();
         let Some(worker) = self.workers.get_mut(key) else {
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -194,8 +194,8 @@
     pub reserved: Resources,
     /// Tasks that run or may run there, with their run numbers.
     pub tasks: HashMap<TaskKey, u32>,
-    /// Orphaned runs, with the resources that they occupy.
-    pub orphaned_runs: HashMap<(TaskName, u32), Resources>,
+    /// Orphaned runs, with the resources that they occupy; none if those are unknown, so that nothing else has room.
+    pub orphaned_runs: HashMap<(TaskName, u32), Option<Resources>>,
     pub health: Health,
 }
 
@@ -256,7 +256,8 @@
         let orphaned_runs = self
             .orphaned_runs
             .values()
-            .fold(Resources::default(), |sum, resources| sum + *resources);
+            .map(|resources| resources.unwrap_or(self.entry.capacity))
+            .fold(Resources::default(), |sum, resources| sum + resources);
         self.entry.capacity.minus(&self.used).minus(&orphaned_runs)
     }
 
--- a/crates/scheduler/tests/capacity.rs
+++ b/crates/scheduler/tests/capacity.rs
@@ -6,9 +6,9 @@
 mod support;
 
 use rstest::rstest;
-use scheduler::StartOutcome;
 use scheduler::prelude::*;
-use support::{Harness, entry, job, starts, step, stops, worker_of};
+use scheduler::{ActiveRun, StartOutcome};
+use support::{Harness, entry, job, running, starts, step, stops, worker_of};
 
 /// Returns a worker with this many accelerators, and otherwise with the usual capacity.
 fn resized(number: u32, accelerators: i64) -> WorkerEntry {
@@ -146,3 +146,23 @@
     add_job(&mut harness, 1, 1, step(32, 1));
     assert_eq!(starts(&harness.plan()).len() as i64, accelerators);
 }
+
+#[test]
+fn unknown_run_found_on_shrunk_worker_still_fills_it_once_it_has_grown() {
+    let mut harness = Harness::with_workers(1);
+    add_job(&mut harness, 1, 1, step(1, 1));
+    let order = harness.start_all().remove(0);
+    let unknown = ActiveRun {
+        task: format!("{:016x}.0.0.0", 99).parse().unwrap(),
+        ..running(&order)
+    };
+    let mut shrunk = resized(0, 0);
+    shrunk.capacity = Resources::default();
+    harness.list(vec![shrunk]);
+    harness.report(0, vec![running(&order), unknown], vec![]);
+    harness.list(vec![entry(0)]);
+    add_job(&mut harness, 2, 1, step(1, 1));
+    assert_eq!(starts(&harness.plan()), vec![]);
+    harness.report(0, vec![running(&order)], vec![]);
+    assert_eq!(starts(&harness.plan()).len(), 1);
+}
