--- a/crates/scheduler/tests/capacity.rs
+++ b/crates/scheduler/tests/capacity.rs
@@ -7,8 +7,8 @@
 
 use rstest::rstest;
 use scheduler::prelude::*;
-use scheduler::{ActiveRun, StartOutcome};
-use support::{Harness, entry, job, running, starts, step, stops, worker_of};
+use scheduler::{ActiveRun, RunOutcome, StartOutcome};
+use support::{Harness, ended, entry, job, running, starts, step, stops, worker_of};
 
 /// Returns a worker with this many accelerators, and otherwise with the usual capacity.
 fn resized(number: u32, accelerators: i64) -> WorkerEntry {
@@ -166,3 +166,102 @@
     harness.report(0, vec![running(&order)], vec![]);
     assert_eq!(starts(&harness.plan()).len(), 1);
 }
+
+#[rstest]
+#[case::needs_accelerators(step(1, 1))]
+#[case::needs_none(step(1, 0))]
+#[case::uses_idle_processors(StepSpec { fills: true, ..step(1, 0) })]
+fn worker_below_what_runs_there_gets_nothing_and_keeps_its_runs(#[case] more: StepSpec) {
+    let mut harness = Harness::with_workers(1);
+    let lasting = StepSpec {
+        lasting: true,
+        most_away: Some(1),
+        ..step(1, 4)
+    };
+    add_job(&mut harness, 1, 2, step(1, 4));
+    add_job(&mut harness, 2, 2, lasting);
+    let orders = harness.start_all();
+    assert_eq!(orders.len(), 2);
+    harness.list(vec![resized(0, 6)]);
+    add_job(&mut harness, 3, 2, more);
+    for _ in 0..20 {
+        harness.now_ms += 500;
+        let runs = orders.iter().map(running).collect();
+        harness.report(0, runs, vec![]);
+        harness.planner.grant_lease(harness.workers[0]);
+        assert_eq!(harness.plan(), vec![]);
+    }
+    harness.list(vec![resized(0, 9)]);
+    assert_eq!(starts(&harness.plan()).len(), 1);
+}
+
+#[test]
+fn reserved_room_that_has_shrunk_is_not_used() {
+    let mut harness = Harness::with_workers(1);
+    add_job(&mut harness, 1, 2, step(1, 8));
+    let victim = harness.start_all().remove(0);
+    harness.now_ms += 1_000;
+    harness.report(0, vec![running(&victim)], vec![]);
+    add_job(&mut harness, 2, 0, step(1, 8));
+    assert_eq!(stops(&harness.plan()).len(), 1);
+    harness.list(vec![resized(0, 4)]);
+    harness.now_ms += 300;
+    harness.report(0, vec![], vec![ended(&victim, 1, RunOutcome::Stopped, "")]);
+    assert_eq!(starts(&harness.plan()), vec![]);
+    harness.list(vec![entry(0)]);
+    assert_eq!(
+        starts(&harness.plan()),
+        vec![(format!("{:016x}.0.0.0", 2), 1)]
+    );
+}
+
+#[rstest]
+#[case::task(step(1, 8))]
+#[case::gang(gang(2, 8))]
+#[case::gang_on_one_rack(StepSpec { one_rack: true, ..gang(2, 8) })]
+#[case::task_near_its_data(StepSpec { data_rack: Some("rack-0".to_string()), ..step(1, 8) })]
+fn job_that_no_worker_holds_waits_until_capacity_grows(#[case] step: StepSpec) {
+    let mut harness = Harness::with_workers(2);
+    harness.list(vec![resized(0, 4), resized(1, 4)]);
+    let count = step.count as usize;
+    add_job(&mut harness, 1, 0, step);
+    for _ in 0..20 {
+        harness.now_ms += 500;
+        harness.report(0, vec![], vec![]);
+        harness.report(1, vec![], vec![]);
+        assert_eq!(harness.plan(), vec![]);
+        assert!(!harness.planner.has_changed(), "nothing is left to plan");
+    }
+    harness.list(vec![entry(0), entry(1)]);
+    assert_eq!(starts(&harness.plan()).len(), count);
+}
+
+#[test]
+fn inherited_run_counts_against_capacity_of_worker_that_is_listed_late() {
+    let mut before = Harness::with_workers(1);
+    let stored = job(1, 1, vec![step(1, 6)]);
+    before.planner.add_job(stored.clone(), 1, before.now_ms);
+    let (_, flush) = before.plan_without_store();
+    let record = flush.writes[0].record.clone();
+
+    let mut harness = Harness::with_workers(0);
+    harness
+        .planner
+        .restore_job(stored, Some(record), 1, harness.now_ms);
+    let polled = harness.planner.take_unpolled();
+    harness.workers.extend(polled);
+    let inherited = ActiveRun {
+        task: format!("{:016x}.0.0.0", 1).parse().unwrap(),
+        run: 1,
+        progress: String::new(),
+        percent: 10,
+        metric: 0,
+    };
+    harness.report(0, vec![inherited], vec![]);
+    add_job(&mut harness, 2, 1, step(9, 1));
+    assert_eq!(starts(&harness.plan()), vec![]);
+    harness.list(vec![resized(0, 7)]);
+    assert_eq!(starts(&harness.plan()).len(), 1);
+    harness.list(vec![entry(0)]);
+    assert_eq!(starts(&harness.plan()).len(), 1);
+}
