Send no start while the list of workers is too old to show a smaller capacity in time

Callers would see: a worker that does not guard its capacity is brought over it (LIMIT) while the planner holds its lead and writes records, but fails to read the list of workers.

Cause: a failed read leaves the planner with the capacities that it knew, for any length of time. A smaller capacity binds contact_ms and one interval between reports after the worker shrank.

Evidence: start_waits_while_workers_cannot_be_listed failed without the check: the task ran on the worker with no accelerators left. The simulated store can leave reads of the list unanswered for it.

Why this works: a start waits, as it does for the lead, until a list that was asked for less than contact_ms minus the timeout of an order ago is taken in, and is then checked against it. With contact_ms = 4000 that is 3.3 s, four readings of the list. A contact_ms too short for two readings would leave no time to start anything, so two readings are always allowed.

--- a/crates/control/src/listing.rs
+++ b/crates/control/src/listing.rs
@@ -13,7 +13,7 @@
 use crate::term::Term;
 
 /// How often the list is read: often enough that a leaving worker gets no new work after a second at most.
-const READ_EVERY_MS: u64 = 800;
+pub(crate) const READ_EVERY_MS: u64 = 800;
 
 /// Timeout of reading one page.
 const CALL_TIMEOUT_MS: u64 = 900;
@@ -52,10 +52,12 @@
             term.lock_planner().set_evacuated(evacuated);
         }
         // A failed read says nothing about the workers; their answers to renewals still do.
+        let asked_ms = now_ms();
         let Ok(list) = read_workers(&term.node).await else {
             continue;
         };
         let added = term.lock_planner().list_workers(list, now_ms());
+        term.record_worker_list(asked_ms);
         for worker in added {
             term.spawn(renew_worker_lease(term.clone(), worker));
         }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -27,7 +27,7 @@
 const MAX_IDLE_PER_HOST: usize = 2;
 
 /// Timeout of an order to a worker.
-const ORDER_TIMEOUT_MS: u64 = 700;
+pub(crate) const ORDER_TIMEOUT_MS: u64 = 700;
 
 /// A node whose configuration was confirmed longer ago than this counts as cut off from the store. A confirmation is at
 /// most twice a watch's wait old, and a store that is 80 times slower than usual adds two thirds of a second.
--- a/crates/control/src/orders.rs
+++ b/crates/control/src/orders.rs
@@ -13,7 +13,7 @@
 /// Delay before an order is sent again.
 const RETRY_PAUSE_MS: u64 = 120;
 
-/// How often a planner whose lead is not confirmed checks whether it may send a start.
+/// How often a planner whose lead is not confirmed, or whose list of workers is old, checks whether it may send a start.
 const LEAD_POLL_MS: u64 = 20;
 
 /// Timeout of the service that grants tickets; it takes longer the more workers a query names.
@@ -86,7 +86,7 @@
         } => {
             let outcome = match lease_end_clock_ms {
                 Some(lease_end_clock_ms) => {
-                    while !term.is_lead_valid() {
+                    while !term.may_send_starts() {
                         tokio::time::sleep(Duration::from_millis(LEAD_POLL_MS)).await;
                     }
                     // The worker may have shrunk while the order waited.
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -64,6 +64,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
 #[serde(default)]
 pub struct Bounds {
+    /// A worker's smaller capacity binds this time, and one interval between its reports, after it shrank.
+    pub contact_ms: u64,
     /// The longest time that stopping a task takes.
     pub stop_grace_ms: u64,
     /// The longest lease that a worker grants.
@@ -83,6 +85,7 @@
 impl Default for Bounds {
     fn default() -> Self {
         Bounds {
+            contact_ms: 4_000,
             stop_grace_ms: 900,
             longest_lease_ms: 10_000,
             revoke_ms: 5_000,
--- a/crates/control/src/takeover.rs
+++ b/crates/control/src/takeover.rs
@@ -20,6 +20,7 @@
 /// writer of records and the revision to watch requests from.
 pub(crate) async fn load_state(term: &Arc<Term>) -> Result<(RecordWriter, u64), CallError> {
     let node = &term.node;
+    let workers_asked_ms = now_ms();
     let workers = crate::listing::read_workers(node).await?;
     let evacuated = crate::listing::read_evacuated(node).await?;
     let (requests, seen_revision) = node
@@ -42,6 +43,7 @@
     let mut record_writer = RecordWriter::new(chain.map_or(0, |item| item.revision));
     record_writer.add_ended_jobs(ended);
     *term.lock_planner() = planner;
+    term.record_worker_list(workers_asked_ms);
     for worker in to_renew {
         term.spawn(crate::lease_renewal::renew_worker_lease(
             term.clone(),
--- a/crates/control/src/term.rs
+++ b/crates/control/src/term.rs
@@ -11,9 +11,9 @@
 
 use crate::clock::{now_ms, unix_ms};
 use crate::lead::{LEASE_MARGIN_MS, Lead, RENEW_EVERY_MS, RENEW_TIMEOUT_MS, lead_ttl_ms};
-use crate::listing::follow_workers;
+use crate::listing::{READ_EVERY_MS, follow_workers};
 use crate::metrics::{Counter, Timing};
-use crate::node::Node;
+use crate::node::{Node, ORDER_TIMEOUT_MS};
 use crate::orders::dispatch_orders;
 use crate::record_writer::{LATER_TERM, RecordWriter};
 use crate::request_watch::{follow_requests, poll_missed_jobs};
@@ -45,6 +45,8 @@
     planner: Mutex<Planner>,
     /// The lead is certainly held until this time.
     valid_until_ms: AtomicU64,
+    /// When the newest list of workers was asked for.
+    workers_asked_ms: AtomicU64,
     /// Signals a change that planning should take into account.
     pub wake: Notify,
     /// Signals that ended runs listed by workers have been stored.
@@ -59,11 +61,23 @@
         self.planner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns whether the lead is certainly held now, so that starts may be sent.
+    /// Returns whether the lead is certainly held now.
     pub fn is_lead_valid(&self) -> bool {
         now_ms() < self.valid_until_ms.load(Ordering::Relaxed)
     }
 
+    /// Returns whether starts may be sent now: the lead is certainly held, and the list of workers is recent.
+    pub fn may_send_starts(&self) -> bool {
+        let max_age_ms = max_worker_list_age_ms(self.node.settings.bounds.contact_ms);
+        self.is_lead_valid()
+            && now_ms() <= self.workers_asked_ms.load(Ordering::Relaxed) + max_age_ms
+    }
+
+    /// Records when the list of workers that the planner has now was asked for.
+    pub fn record_worker_list(&self, asked_ms: u64) {
+        self.workers_asked_ms.store(asked_ms, Ordering::Relaxed);
+    }
+
     /// Runs work in the background until this term is over.
     pub fn spawn(self: &Arc<Self>, work: impl Future<Output = ()> + Send + 'static) {
         let cancellation = self.cancellation.clone();
@@ -78,6 +92,7 @@
     let term = Arc::new(Term {
         planner: Mutex::new(Planner::new(limits, began_ms)),
         valid_until_ms: AtomicU64::new(lead.valid_until_ms),
+        workers_asked_ms: AtomicU64::new(0),
         wake: Notify::new(),
         ends_stored: Notify::new(),
         cancellation: CancellationToken::new(),
@@ -106,6 +121,14 @@
     }
 }
 
+/// Returns how old the list of workers may be when a start is sent, so that it arrives before a smaller capacity that
+/// the list does not show yet binds.
+fn max_worker_list_age_ms(contact_ms: u64) -> u64 {
+    contact_ms
+        .saturating_sub(ORDER_TIMEOUT_MS)
+        .max(2 * READ_EVERY_MS)
+}
+
 /// Renews the lead until that is no longer possible; returns the reason.
 async fn renew_lead(term: &Arc<Term>) -> String {
     let node = &term.node;
--- a/crates/control/tests/capacity.rs
+++ b/crates/control/tests/capacity.rs
@@ -1,12 +1,13 @@
-//! Workers whose capacity shrinks while starts are on their way to them.
+//! Workers whose capacity shrinks while starts wait or are on their way to them.
 //!
-//! Guards against a start that takes effect on a worker which has no room for it any more.
+//! Guards against a start that takes effect on a worker which has no room for it any more, and one that is sent although
+//! the worker may have shrunk unseen.
 
 mod support;
 
 use std::time::Duration;
 
-use platform_standin::WorkerStandIn;
+use platform_standin::{StoreFault, WorkerStandIn};
 use serde_json::Value;
 use support::Site;
 
@@ -16,6 +17,9 @@
 /// Long enough for the planner to read the list of workers twice, and for an unanswered order to be repeated.
 const TWO_LISTS: Duration = Duration::from_millis(2_000);
 
+/// The default of the time after which a smaller capacity binds.
+const CONTACT: Duration = Duration::from_millis(4_000);
+
 /// Writes a worker's entry with this many accelerators.
 fn write_entry(site: &Site, worker: &WorkerStandIn, accelerators: u32) {
     let (key, text) = worker.entry();
@@ -53,3 +57,31 @@
         (vec![], (2, 2))
     );
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn start_waits_while_workers_cannot_be_listed() {
+    let site = Site::start(1, RUN).await;
+    assert_eq!(site.submit(0, 1, 1).await, 200);
+    site.wait("the worker is used", async |site| {
+        site.state(0, 1).await == "completed"
+    })
+    .await;
+    site.store.set_fault(StoreFault::WorkersUnreadable);
+    tokio::time::sleep(CONTACT).await;
+    write_entry(&site, &site.workers[0], 0);
+    assert_eq!(site.submit(0, 2, 1).await, 200);
+    tokio::time::sleep(TWO_LISTS).await;
+    assert_eq!(site.audit.counts(), (1, 1));
+    site.store.set_fault(StoreFault::None);
+    tokio::time::sleep(TWO_LISTS).await;
+    assert_eq!(site.audit.counts(), (1, 1));
+    write_entry(&site, &site.workers[0], 8);
+    site.wait("the job is completed", async |site| {
+        site.state(0, 2).await == "completed"
+    })
+    .await;
+    assert_eq!(
+        (site.audit.violations(), site.audit.counts()),
+        (vec![], (2, 2))
+    );
+}
