Stop an unanswered start on a worker that is no longer listed instead of repeating it

Callers would see: a worker that does not guard its capacity is brought over it (LIMIT) after a cut. Its entry expires, it shrinks unseen, and the repeated start takes effect before its new entry is read.

Cause: the check before a start compares with the last capacity that was listed, also when the worker is not listed any more.

Evidence: unanswered_start_on_worker_that_is_no_longer_listed_is_stopped_instead_of_repeated failed before: the start was sent.

Why this works: an unlisted worker gets no new work anyway; now a start that is sent or repeated counts as such. Its run is stopped and counts until the worker has taken the stop, or its lease is over.

--- a/crates/scheduler/src/withdraw.rs
+++ b/crates/scheduler/src/withdraw.rs
@@ -48,7 +48,7 @@
     }
 
     /// Returns whether the worker of a starting task, and those of all starting members of its gang, hold what is
-    /// assigned to them.
+    /// assigned to them. The capacity of an unlisted worker is unknown.
     fn has_room_for_start(&self, key: TaskKey) -> bool {
         let members = match self.is_gang(key.group) {
             true => self.list_tasks(key.group),
@@ -64,7 +64,7 @@
                     Phase::Starting { worker, .. } => self.workers.get(worker),
                     _ => None,
                 })
-                .all(|worker| !worker.is_overcommitted())
+                .all(|worker| worker.listed && !worker.is_overcommitted())
     }
 
     /// Withdraws the start of a task, and with it those of its gang.
@@ -74,7 +74,7 @@
         };
         let id = job.stored.id;
         let why = format!(
-            "task {}: its worker, or that of a member of its gang, has too little room now",
+            "task {}: its worker, or that of a member of its gang, has too little room now or is not listed",
             key.index
         );
         self.record_decision(Some(id), "start withdrawn", why);
--- a/crates/scheduler/tests/capacity.rs
+++ b/crates/scheduler/tests/capacity.rs
@@ -132,6 +132,23 @@
     );
 }
 
+#[test]
+fn unanswered_start_on_worker_that_is_no_longer_listed_is_stopped_instead_of_repeated() {
+    let mut harness = Harness::with_workers(1);
+    add_job(&mut harness, 1, 1, step(1, 8));
+    let orders = harness.plan();
+    let sent = harness.send_held_back(orders);
+    harness.report_start_outcome(&sent[0], StartOutcome::NoAnswer);
+    let repeated = harness.take_orders();
+    harness.list(vec![]);
+    assert_eq!(starts(&harness.send_held_back(repeated)), vec![]);
+    assert_eq!(
+        stops(&harness.plan()),
+        vec![(format!("{:016x}.0.0.0", 1), 1)],
+        "its capacity is not known any more"
+    );
+}
+
 #[rstest]
 #[case::shrunk(4)]
 #[case::grown(16)]
