Stop an unanswered start on a worker that leaves or is evacuated instead of repeating it

Callers would see: a task that starts on a worker seconds after it announced that it leaves (DRAIN), or in a data centre that is being evacuated (EVAC), and that has to move again at once.

Cause: the same as for a worker that shrank. Whether a worker takes new work was checked when a task was placed, not when its start was sent or repeated.

Evidence: unanswered_start_on_worker_that_takes_no_new_work_is_stopped_instead_of_repeated, both cases, failed before: the start was sent.

Why this works: the check before each call asks what placing asks of the worker, except for its answers: an unanswered start is still repeated on a silent worker, since only an answer tells whether it took effect.

--- a/crates/scheduler/src/fit.rs
+++ b/crates/scheduler/src/fit.rs
@@ -110,16 +110,21 @@
 impl Planner {
     /// Returns whether a worker may get new work now.
     pub(crate) fn is_usable(&self, worker: &Worker, now_ms: u64) -> bool {
-        worker.fenced
-            && worker.listed
-            && !worker.entry.leaving
-            && !worker.draining
-            && !self.evacuated.contains(&worker.entry.data_centre)
+        self.is_open(worker)
+            && worker.fenced
             && !worker.unresponsive
             && worker.answered_ms + self.limits.unresponsive_ms >= now_ms
             && worker.health.is_trusted(now_ms)
     }
 
+    /// Returns whether a worker is listed and neither leaves nor is being emptied.
+    pub(crate) fn is_open(&self, worker: &Worker) -> bool {
+        worker.listed
+            && !worker.entry.leaving
+            && !worker.draining
+            && !self.evacuated.contains(&worker.entry.data_centre)
+    }
+
     /// Returns whether a worker can run tasks of a group at all, regardless of its free capacity.
     pub(crate) fn is_eligible(&self, group: GroupKey, worker: &Worker) -> bool {
         let job = &self.jobs[group.job];
--- a/crates/scheduler/src/withdraw.rs
+++ b/crates/scheduler/src/withdraw.rs
@@ -1,4 +1,4 @@
-//! Withdraws starts for which a worker has no room any more because its capacity has shrunk.
+//! Withdraws starts whose worker has no room for them any more, because its capacity has shrunk, or takes no new work.
 
 use crate::group::{Phase, TaskKey};
 use crate::planner::Planner;
@@ -25,8 +25,8 @@
     }
 
     /// Returns whether a start may still be sent; to be asked right before each call. A start whose worker has no room
-    /// for it any more, or whose gang is being torn down, is withdrawn. An earlier call that got no answer may still
-    /// take effect, so its run is stopped.
+    /// for it any more or takes no new work, or whose gang is being torn down, is withdrawn. An earlier call that got no
+    /// answer may still take effect, so its run is stopped.
     pub fn revalidate_start(&mut self, key: TaskKey, run: u32, now_ms: u64) -> bool {
         let Some(task) = self.task(key) else {
             return false;
@@ -37,7 +37,7 @@
         if task.run != run {
             return false;
         }
-        if self.has_room_for_start(key) {
+        if self.may_start(key) {
             return true;
         }
         if !unanswered && let Some(task) = self.task_mut(key) {
@@ -47,9 +47,9 @@
         false
     }
 
-    /// Returns whether the worker of a starting task, and those of all starting members of its gang, hold what is
-    /// assigned to them. The capacity of an unlisted worker is unknown.
-    fn has_room_for_start(&self, key: TaskKey) -> bool {
+    /// Returns whether the worker of a starting task, and those of all starting members of its gang, take new work and
+    /// hold what is assigned to them. The capacity of an unlisted worker is unknown.
+    fn may_start(&self, key: TaskKey) -> bool {
         let members = match self.is_gang(key.group) {
             true => self.list_tasks(key.group),
             false => vec![key],
@@ -64,7 +64,7 @@
                     Phase::Starting { worker, .. } => self.workers.get(worker),
                     _ => None,
                 })
-                .all(|worker| worker.listed && !worker.is_overcommitted())
+                .all(|worker| self.is_open(worker) && !worker.is_overcommitted())
     }
 
     /// Withdraws the start of a task, and with it those of its gang.
@@ -74,7 +74,7 @@
         };
         let id = job.stored.id;
         let why = format!(
-            "task {}: its worker, or that of a member of its gang, has too little room now or is not listed",
+            "task {}: its worker, or that of a member of its gang, has too little room now or takes no new work",
             key.index
         );
         self.record_decision(Some(id), "start withdrawn", why);
--- a/crates/scheduler/tests/placing.rs
+++ b/crates/scheduler/tests/placing.rs
@@ -9,7 +9,7 @@
 
 use rstest::rstest;
 use scheduler::prelude::*;
-use scheduler::{ActiveRun, AdviceAnswer, BodyLimits, Configuration, Organisation};
+use scheduler::{ActiveRun, AdviceAnswer, BodyLimits, Configuration, Organisation, StartOutcome};
 use support::{Harness, entry, job, running, starts, step, stops, worker_of};
 
 fn configuration(guaranteed_accelerators: i64) -> Configuration {
@@ -180,6 +180,32 @@
     assert_eq!(starts(&harness.plan()).len(), 1);
 }
 
+#[rstest]
+#[case::leaves(true)]
+#[case::is_evacuated(false)]
+fn unanswered_start_on_worker_that_takes_no_new_work_is_stopped_instead_of_repeated(
+    #[case] leaving: bool,
+) {
+    let mut harness = Harness::with_workers(1);
+    let now_ms = harness.now_ms;
+    harness
+        .planner
+        .add_job(job(1, 0, vec![step(1, 1)]), 1, now_ms);
+    let orders = harness.plan();
+    let sent = harness.send_held_back(orders);
+    harness.report_start_outcome(&sent[0], StartOutcome::NoAnswer);
+    let repeated = harness.take_orders();
+    match leaving {
+        true => harness.list(vec![WorkerEntry {
+            leaving,
+            ..entry(0)
+        }]),
+        false => harness.planner.set_evacuated(vec!["gyor".to_string()]),
+    }
+    assert_eq!(starts(&harness.send_held_back(repeated)), vec![]);
+    assert_eq!(stops(&harness.plan()).len(), 1);
+}
+
 #[test]
 fn small_tasks_leave_racks_free() {
     let mut harness = Harness::with_workers(16);
