--- a/crates/control/src/orders.rs
+++ b/crates/control/src/orders.rs
@@ -16,7 +16,7 @@
 /// Delay before an order is sent again.
 const RETRY_PAUSE_MS: u64 = 120;
 
-/// How often a planner whose lead is not confirmed checks whether it may send a start.
+/// How often a planner whose lead is not confirmed, or whose list of workers is old, checks whether it may send a start.
 const LEAD_POLL_MS: u64 = 20;
 
 /// Timeout of the service that grants tickets; it takes longer the more workers a query names.
@@ -88,14 +88,10 @@
             ticket,
             ..
         } => {
-            let outcome = match lease_end_clock_ms {
-                Some(_) if again && !is_same_incarnation(&term, worker, task_key, run).await => {
-                    StartOutcome::NoAnswer
-                }
-                Some(lease_end_clock_ms) => {
-                    while !term.is_lead_valid() {
-                        tokio::time::sleep(Duration::from_millis(LEAD_POLL_MS)).await;
-                    }
+            let check = check_start(&term, worker, task_key, run, again).await;
+            let outcome = match (check, lease_end_clock_ms) {
+                (StartCheck::Withdrawn, _) => return term.wake.notify_one(),
+                (StartCheck::Send, Some(lease_end_clock_ms)) => {
                     let details = StartDetails {
                         text: &text,
                         lease_end_clock_ms,
@@ -109,7 +105,7 @@
                             .await,
                     )
                 }
-                None => StartOutcome::NoAnswer,
+                _ => StartOutcome::NoAnswer,
             };
             term.lock_planner()
                 .apply_start_outcome(task_key, run, outcome, now_ms());
@@ -155,11 +151,37 @@
     term.wake.notify_one();
 }
 
-/// Returns whether a worker still is the incarnation to which a start was sent before, and the start is still due. The
-/// next incarnation may have the same id, and would take a repeated start for a new one.
-async fn is_same_incarnation(term: &Term, worker: WorkerKey, task: TaskKey, run: u32) -> bool {
-    check_incarnation(term, worker).await == RenewalOutcome::Answered
-        && term.lock_planner().is_starting(task, run)
+/// Whether a start may be sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum StartCheck {
+    /// It may be sent now.
+    Send,
+    /// Not before the worker has answered.
+    Wait,
+    /// It is no longer due.
+    Withdrawn,
+}
+
+/// Checks a start right before it is sent, once starts may be sent at all.
+async fn check_start(
+    term: &Term,
+    worker: WorkerKey,
+    task: TaskKey,
+    run: u32,
+    again: bool,
+) -> StartCheck {
+    while !term.may_send_starts() {
+        tokio::time::sleep(Duration::from_millis(LEAD_POLL_MS)).await;
+    }
+    // The next incarnation of the worker may have the same id, and would take a repeated start for a new one.
+    let is_known = !again || check_incarnation(term, worker).await == RenewalOutcome::Answered;
+    // The worker may have shrunk while the order waited.
+    let is_due = term.lock_planner().revalidate_start(task, run, now_ms());
+    match (is_due, is_known) {
+        (false, _) => StartCheck::Withdrawn,
+        (true, false) => StartCheck::Wait,
+        (true, true) => StartCheck::Send,
+    }
 }
 
 /// Asks which workers may run a step, once no other query of this node is in flight.
--- a/crates/scheduler/src/events.rs
+++ b/crates/scheduler/src/events.rs
@@ -51,7 +51,7 @@
                 self.remove_incarnation(before, "a new incarnation has the same id", now_ms);
             }
             let key = same.unwrap_or_else(|| self.add_worker(entry.clone(), now_ms));
-            self.refresh_worker(key, entry);
+            self.refresh_worker(key, entry, now_ms);
             named.insert(key);
         }
         self.update_unlisted(&named, now_ms);
@@ -95,8 +95,10 @@
         key
     }
 
-    fn refresh_worker(&mut self, key: WorkerKey, entry: crate::WorkerEntry) {
+    fn refresh_worker(&mut self, key: WorkerKey, entry: crate::WorkerEntry, now_ms: u64) {
         let worker = &mut self.workers[key];
+        let before = worker.entry.capacity;
+        let after = entry.capacity;
         if worker.entry.rack != entry.rack {
             worker.rack = self.racks.key(&entry.rack);
         }
@@ -113,6 +115,15 @@
         } else {
             worker.entry = entry;
         }
+        if before != after {
+            self.changed = true;
+            let why = format!(
+                "worker {}: {after:?}, before {before:?}",
+                self.workers[key].entry.id
+            );
+            self.record_decision(None, "worker capacity", why);
+            self.withdraw_unsent_starts(key, now_ms);
+        }
     }
 
     /// Marks the jobs on a leaving worker for storing, so that their records say that it leaves. A later planner that
@@ -351,18 +362,11 @@
 
     /// Stops runs that are not assigned to the worker, and counts the capacity that they occupy.
     fn stop_orphaned_runs(&mut self, key: WorkerKey, orphaned_runs: &HashSet<(TaskName, u32)>) {
-        let occupied: Vec<((TaskName, u32), Resources)> = orphaned_runs
+        let occupied: Vec<((TaskName, u32), Option<Resources>)> = orphaned_runs
             .iter()
             .map(|orphaned_run| {
                 let task = self.find_task(orphaned_run.0);
-                let whole = self
-                    .workers
-                    .get(key)
-                    .map_or_else(Resources::default, |w| w.entry.capacity);
-                (
-                    *orphaned_run,
-                    task.map_or(whole, |task| self.need(task.group)),
-                )
+                (*orphaned_run, task.map(|task| self.need(task.group)))
             })
             .collect();
         let Some(worker) = self.workers.get_mut(key) else {
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -194,8 +194,8 @@
     pub reserved: Resources,
     /// Tasks that run or may run there, with their run numbers.
     pub tasks: HashMap<TaskKey, u32>,
-    /// Orphaned runs, with the resources that they occupy.
-    pub orphaned_runs: HashMap<(TaskName, u32), Resources>,
+    /// Orphaned runs, with the resources that they occupy; none if those are unknown, so that nothing else has room.
+    pub orphaned_runs: HashMap<(TaskName, u32), Option<Resources>>,
     /// Those of its tasks that may crash it.
     pub suspects: Vec<TaskKey>,
     pub health: Health,
@@ -253,15 +253,22 @@
 
     /// Returns the resources that are neither occupied nor reserved.
     pub fn free(&self) -> Resources {
+        self.unoccupied().minus(&self.reserved)
+    }
+
+    /// Returns whether what occupies the worker exceeds its capacity, which may have shrunk.
+    pub fn is_overcommitted(&self) -> bool {
+        !Resources::default().fits(&self.unoccupied())
+    }
+
+    /// Returns the resources that nothing occupies.
+    fn unoccupied(&self) -> Resources {
         let orphaned_runs = self
             .orphaned_runs
             .values()
-            .fold(Resources::default(), |sum, resources| sum + *resources);
-        self.entry
-            .capacity
-            .minus(&self.used)
-            .minus(&self.reserved)
-            .minus(&orphaned_runs)
+            .map(|resources| resources.unwrap_or(self.entry.capacity))
+            .fold(Resources::default(), |sum, resources| sum + resources);
+        self.entry.capacity.minus(&self.used).minus(&orphaned_runs)
     }
 
     /// Returns the stored form of this incarnation.
