Let tasks that have waited for a second start beside a suspect task

What callers would see: after an outage of all workers, or after two losses of contact with them, most of the capacity stays idle.

Cause: each task that was on a lost worker becomes suspect, and a suspect keeps its worker from all other tasks, also from other suspects and from urgent work: for its start phase, or as long as it runs if one of its losses was not in a start phase. Only the search for an empty worker had a bound. With more suspects than workers, one task runs on each worker.

Why it works: a suspect keeps its worker only from groups that have waited for less than a second, which is the bound of the search for an empty worker too. Work that finds room elsewhere at once still stays apart. A group that has waited less does not mark a shape as unplaceable for one that may start beside suspects.

--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -28,6 +28,10 @@
 /// How long a suspect task waits for a worker on which nothing runs.
 const EMPTY_WORKER_WAIT_MS: u64 = 1_000;
 
+/// How long other tasks wait for a worker that no suspect task keeps from them. Less than the shortest time in which
+/// the platform reclaims capacity for urgent work.
+const SUSPECT_FREE_WAIT_MS: u64 = 1_000;
+
 /// The workers lost under a task.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
@@ -128,7 +132,7 @@
         }
     }
 
-    /// Returns whether a suspect task on a worker forbids to start anything else there: during its start phase, or as
+    /// Returns whether a suspect task on a worker keeps it from others that can wait: during its start phase, or as
     /// long as it runs if not all of its crashes were in that phase.
     pub(crate) fn is_held_by_suspect(&self, worker: &Worker) -> bool {
         worker.suspects.iter().any(|key| {
@@ -139,6 +143,12 @@
         })
     }
 
+    /// Returns whether a group has waited so long that its tasks may start beside a suspect task. Otherwise many
+    /// suspects, as after an outage of all workers, would leave most of the capacity idle.
+    pub(crate) fn may_join_suspects(&self, group: GroupKey, now_ms: u64) -> bool {
+        self.jobs[group.job].groups[group.group as usize].waited_ms(now_ms) >= SUSPECT_FREE_WAIT_MS
+    }
+
     /// Returns whether a task has to start on a worker on which nothing runs. It does not wait for one forever.
     pub(crate) fn needs_empty_worker(&self, key: TaskKey, now_ms: u64) -> bool {
         let Some(job) = self.jobs.get(key.group.job) else {
--- a/crates/scheduler/src/fit.rs
+++ b/crates/scheduler/src/fit.rs
@@ -118,7 +118,6 @@
             && !worker.unresponsive
             && worker.answered_ms + self.limits.unresponsive_ms >= now_ms
             && worker.health.is_trusted(now_ms)
-            && !self.is_held_by_suspect(worker)
     }
 
     /// Returns whether a worker is listed and neither leaves nor is being emptied.
@@ -164,8 +163,10 @@
     pub(crate) fn candidates(&self, group: GroupKey, now_ms: u64) -> Vec<Candidate> {
         let mut free_by_rack: Vec<i64> = self.racks.table();
         let mut candidates = Vec::with_capacity(self.workers.len());
+        let joins_suspects = self.may_join_suspects(group, now_ms);
         for (key, worker) in &self.workers {
-            if !self.is_usable(worker, now_ms) {
+            if !self.is_usable(worker, now_ms) || !joins_suspects && self.is_held_by_suspect(worker)
+            {
                 continue;
             }
             let free = worker.free();
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -188,6 +188,19 @@
         self.tasks.iter().any(|task| task.phase.worker().is_some())
     }
 
+    /// Returns how long the first of its waiting tasks has been ready to start.
+    pub fn waited_ms(&self, now_ms: u64) -> u64 {
+        let waits_since_ms = self
+            .tasks
+            .iter()
+            .filter(|task| task.phase == Phase::Waiting)
+            .map(|task| task.since_ms)
+            .min()
+            .unwrap_or(now_ms)
+            .max(self.ready_ms.unwrap_or(now_ms));
+        now_ms.saturating_sub(waits_since_ms)
+    }
+
     /// Returns the highest run number of its tasks.
     pub fn highest_run(&self) -> u32 {
         self.tasks.iter().map(|task| task.run).max().unwrap_or(0)
--- a/crates/scheduler/src/headroom.rs
+++ b/crates/scheduler/src/headroom.rs
@@ -7,7 +7,7 @@
 use slotmap::SecondaryMap;
 
 use crate::fit::{Candidate, find_best_candidate, split_by_rack};
-use crate::group::{GroupKey, Phase};
+use crate::group::GroupKey;
 use crate::planner::Planner;
 use crate::spec::Resources;
 use crate::urgent::UrgentArrival;
@@ -54,7 +54,11 @@
         let mut candidates: Vec<Candidate> = self
             .workers
             .iter()
-            .filter(|(_, w)| self.is_usable(w, now_ms) && w.entry.service == size.service)
+            .filter(|(_, w)| {
+                self.is_usable(w, now_ms)
+                    && !self.is_held_by_suspect(w)
+                    && w.entry.service == size.service
+            })
             .map(|(key, worker)| Candidate {
                 worker: key,
                 rack: worker.rack,
@@ -73,15 +77,7 @@
     pub(crate) fn may_use_headroom(&self, group: GroupKey, now_ms: u64) -> bool {
         let job = &self.jobs[group.job];
         let group_state = &job.groups[group.group as usize];
-        let waits_since_ms = group_state
-            .tasks
-            .iter()
-            .filter(|task| task.phase == Phase::Waiting)
-            .map(|task| task.since_ms)
-            .min()
-            .unwrap_or(now_ms)
-            .max(group_state.ready_ms.unwrap_or(now_ms));
-        let waited_ms = now_ms.saturating_sub(waits_since_ms);
+        let waited_ms = group_state.waited_ms(now_ms);
         let estimate_ms = job.step_of(group.group as usize).estimate_ms;
         let slack_ms = estimate_ms * u64::from(job.stored.stretch_percent.saturating_sub(100))
             / 100
--- a/crates/scheduler/src/schedule.rs
+++ b/crates/scheduler/src/schedule.rs
@@ -224,6 +224,7 @@
             count,
             extent,
             access,
+            joins_suspects: self.may_join_suspects(group, now_ms),
         }
     }
 
--- a/crates/scheduler/src/unplaceable.rs
+++ b/crates/scheduler/src/unplaceable.rs
@@ -34,6 +34,8 @@
     pub count: usize,
     pub extent: Extent,
     pub access: Access,
+    /// Whether it may start beside tasks that may crash their worker.
+    pub joins_suspects: bool,
 }
 
 /// The shapes that found no room in this pass.
@@ -58,6 +60,7 @@
     /// Returns whether `other` finds no room if this shape finds none.
     fn implies(&self, other: &Shape) -> bool {
         self.access >= other.access
+            && self.joins_suspects >= other.joins_suspects
             && self.count <= other.count
             && (self.extent == Extent::Site || other.extent == Extent::Rack)
             && self.need.fits(&other.need)
--- a/crates/scheduler/tests/crashes.rs
+++ b/crates/scheduler/tests/crashes.rs
@@ -11,7 +11,8 @@
 use rstest::rstest;
 use scheduler::prelude::*;
 use scheduler::{
-    ActiveRun, EndedRun, JobId, JobRecord, JobState, RunOutcome, StepSpec, StoredJob, TaskName,
+    ActiveRun, BodyLimits, Configuration, EndedRun, JobId, JobRecord, JobState, Organisation,
+    RunOutcome, StepSpec, StoredJob, TaskName,
 };
 use support::{Harness, entry, job, limits, step, worker_of};
 
@@ -267,9 +268,16 @@
                 worker.runs.push(SimRun { active, began_ms });
                 self.harness.confirm(order);
             }
-            Order::Stop { task, run, .. } => worker
-                .runs
-                .retain(|active| (active.active.task, active.active.run) != (*task, *run)),
+            Order::Stop { task, run, .. } => {
+                let stopped = worker
+                    .runs
+                    .extract_if(.., |r| (r.active.task, r.active.run) == (*task, *run));
+                for stopped in stopped {
+                    worker
+                        .ended
+                        .push(end(&stopped, worker.ended.len(), RunOutcome::Stopped));
+                }
+            }
             _ => {}
         }
     }
@@ -475,3 +483,67 @@
     let running: usize = site.workers.iter().map(|worker| worker.runs.len()).sum();
     assert_eq!(running, 6, "suspects wait for a second, not forever");
 }
+
+/// Crashes all workers at once, as often as `crashes` says, each time once their runs are `age_ms` old.
+fn crash_all_workers(site: &mut Site, crashes: usize, age_ms: u64) {
+    for _ in 0..crashes {
+        find_busy_worker(site, age_ms);
+        for index in 0..site.workers.len() {
+            site.crash(index);
+        }
+        site.play(site.away_ms);
+    }
+}
+
+fn count_runs(site: &Site) -> usize {
+    site.workers.iter().map(|worker| worker.runs.len()).sum()
+}
+
+/// Suspects that start apart from others must not leave capacity idle: where many tasks are suspect, as after a crash
+/// of all workers, one task on each worker is far less than fits.
+#[rstest]
+#[case::crashed_soon_after_their_start(1, 100, AWAY_MS)]
+#[case::crashed_later(2, 5_000, AWAY_MS)]
+#[case::cut_off_twice(2, 5_000, LONG_AWAY_MS)]
+fn start_many_suspects_without_long_wait(
+    #[case] crashes: usize,
+    #[case] age_ms: u64,
+    #[case] away_ms: u64,
+) {
+    let mut site = Site::new(4, is_never);
+    site.work_ms = u64::MAX / 2;
+    site.away_ms = away_ms;
+    site.add(job(1, 1, vec![lasting(24)]));
+    crash_all_workers(&mut site, crashes, age_ms);
+    site.play(6_000);
+    assert_eq!(count_runs(&site), 24);
+}
+
+/// A suspect runs for a minute; the guarantee of an urgent job holds meanwhile.
+#[test]
+fn preempt_suspects_for_urgent_job() {
+    let mut site = Site::new(4, is_never);
+    site.work_ms = 60_000;
+    site.harness.planner.set_configuration(&Configuration {
+        version: 1,
+        queues: Vec::new(),
+        services: Vec::new(),
+        organisations: vec![Organisation {
+            name: "desk".to_string(),
+            keys: Vec::new(),
+            guaranteed_accelerators: 16,
+        }],
+        limits: BodyLimits { body_bytes: 1 },
+    });
+    site.add(job(1, 1, vec![step(4, 8)]));
+    crash_all_workers(&mut site, 2, 5_000);
+    site.play(6_000);
+    assert_eq!(count_runs(&site), 4);
+    site.add(job(2, 0, vec![gang(2, 8)]));
+    site.play(2_900);
+    let begun = site
+        .starts
+        .iter()
+        .filter(|(task, _)| task.to_string().starts_with(&format!("{:016x}", 2)));
+    assert_eq!(begun.count(), 2);
+}
