Look for room once for all suspect tasks of a shape

What callers would see: while many suspect tasks wait in a full service, each planning pass takes long, and starts, ends and stops of all jobs are handled late.

Cause: a group without room marks its shape as unplaceable, so that later groups of the pass don't go through all workers again. Groups whose waiting tasks are all suspect didn't: each lists all workers in each pass, and each of its tasks goes through that list again.

No test, as it would have to measure time.

Why it works: a group first looks for any worker with room, and marks its shape if there is none. The search for the suspects of a group ends with the first that finds no worker, and that for empty workers with the first that finds no empty one. Where a group has placed suspects, its shape is not marked, since it leaves room on their workers unused.

--- a/crates/scheduler/src/schedule.rs
+++ b/crates/scheduler/src/schedule.rs
@@ -261,7 +261,14 @@
                 candidates.retain(|candidate| candidate.rack == rack);
             }
         }
+        if !candidates.iter().any(|candidate| candidate.accepts(&need)) {
+            if self.is_unrestricted(group) {
+                withheld.unplaceable.record(shape);
+            }
+            return;
+        }
         let mut places = self.place_suspects(group, &mut candidates, now_ms);
+        let has_suspects = !places.is_empty();
         for (index, task) in job.groups[group.group as usize].tasks.iter().enumerate() {
             if task.phase != Phase::Waiting || task.not_before_ms > now_ms {
                 continue;
@@ -280,7 +287,8 @@
                 continue;
             }
             let Some(best) = find_best_candidate(&candidates, &need) else {
-                if self.is_unrestricted(group) {
+                // A worker that a suspect of this group gets may have room for other groups.
+                if self.is_unrestricted(group) && !has_suspects {
                     withheld.unplaceable.record(shape);
                 }
                 break;
@@ -301,6 +309,7 @@
         let job = &self.jobs[group.job];
         let need = self.need(group);
         let mut places = Vec::new();
+        let mut none_empty = false;
         for (index, task) in (0..).zip(&job.groups[group.group as usize].tasks) {
             let key = TaskKey { group, index };
             if task.phase != Phase::Waiting
@@ -310,14 +319,21 @@
                 continue;
             }
             let needs_empty = self.needs_empty_worker(key, now_ms);
+            if needs_empty && none_empty {
+                continue;
+            }
             let best = candidates
                 .iter_mut()
                 .filter(|candidate| candidate.accepts(&need) && (candidate.empty || !needs_empty))
                 .min_by_key(|candidate| (!candidate.empty, candidate.rank(&need)));
-            if let Some(candidate) = best {
-                candidate.place(&need);
-                candidate.slots_left = 0;
-                places.push((index, candidate.worker));
+            match best {
+                Some(candidate) => {
+                    candidate.place(&need);
+                    candidate.slots_left = 0;
+                    places.push((index, candidate.worker));
+                }
+                None if needs_empty => none_empty = true,
+                None => break,
             }
         }
         places
