--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -22,6 +22,9 @@
 /// crash.
 const MAX_CRASHES: u32 = 5;
 
+/// From this many crashes on, the platform counts the starts of a task, and one that is stopped is wasted.
+const FREE_CRASHES: u32 = 3;
+
 /// A lasting task that has run for this long is no longer suspect.
 const LASTING_CLEARED_MS: u64 = 30_000;
 
@@ -36,7 +39,7 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct CrashCounts {
-    /// Workers that crashed, or fell silent until their lease expired, while a run of the task was there.
+    /// Workers that crashed, or may have crashed, while a run of the task was there.
     pub all: u32,
     /// Those that crashed within the start phase of the run.
     pub at_start: u32,
@@ -53,6 +56,11 @@
         self.at_start >= 1 || self.all >= 2
     }
 
+    /// Returns whether the task may be the one that crashes its workers, and has few starts left.
+    fn is_nearly_used_up(&self) -> bool {
+        self.all >= FREE_CRASHES
+    }
+
     fn is_used_up(&self) -> bool {
         self.at_start >= MAX_CRASHES_AT_START || self.all >= MAX_CRASHES
     }
@@ -63,8 +71,9 @@
 pub(crate) enum WorkerLoss {
     /// Another incarnation has replaced it, and it had not announced that it leaves.
     Crashed,
-    /// It fell silent until its lease expired; it may have crashed or be cut off.
-    Silent,
+    /// It may have crashed: it fell silent until its lease expired, or was replaced after it had announced that it
+    /// leaves.
+    Unknown,
 }
 
 impl Planner {
@@ -89,7 +98,7 @@
 
     /// Counts the loss of the worker that ran a task in an earlier term, if another incarnation has replaced it.
     pub(crate) fn count_crash_before_term(&mut self, key: TaskKey, worker: Option<&StoredWorker>) {
-        if worker.is_some_and(|worker| !worker.leaving)
+        if worker.is_some()
             && let Some(task) = self.task_mut(key)
         {
             task.crashes.all += 1;
@@ -160,6 +169,15 @@
                 > now_ms
     }
 
+    /// Returns whether a stop of a task, or of its gang, would waste one of the few starts that it has left.
+    pub(crate) fn has_few_starts_left(&self, key: TaskKey) -> bool {
+        let gang = self.is_gang(key.group);
+        let tasks = &self.jobs[key.group.job].groups[key.group.group as usize].tasks;
+        (0..)
+            .zip(tasks)
+            .any(|(index, task)| (gang || index == key.index) && task.crashes.is_nearly_used_up())
+    }
+
     /// Returns whether a task, or its gang, may have crashed a worker.
     pub(crate) fn is_suspect(&self, job: &Job, key: TaskKey) -> bool {
         let group = key.group.group as usize;
--- a/crates/scheduler/src/events.rs
+++ b/crates/scheduler/src/events.rs
@@ -160,17 +160,26 @@
             let idle =
                 worker.tasks.is_empty() && now_ms > worker.unlisted_since_ms + FORGET_UNLISTED_MS;
             if left || idle {
-                self.remove_incarnation(
-                    key,
-                    "it is no longer listed and has left or is idle",
-                    now_ms,
-                );
+                let why = "it is no longer listed and has left or is idle";
+                self.remove_worker(key, why, None, now_ms);
             }
         }
     }
 
-    /// Removes an incarnation of a worker that is over: nothing runs there any more.
+    /// Removes an incarnation of a worker that another one has replaced: nothing of it runs any more.
     pub fn remove_incarnation(&mut self, key: WorkerKey, why: &str, now_ms: u64) {
+        let Some(worker) = self.workers.get(key) else {
+            return;
+        };
+        let loss = match worker.entry.leaving || worker.draining {
+            true => WorkerLoss::Unknown,
+            false => WorkerLoss::Crashed,
+        };
+        self.remove_worker(key, why, Some(loss), now_ms);
+    }
+
+    /// Removes a worker on which nothing runs any more; no `loss` if it has left as announced.
+    fn remove_worker(&mut self, key: WorkerKey, why: &str, loss: Option<WorkerLoss>, now_ms: u64) {
         let Some(worker) = self.workers.get(key) else {
             return;
         };
@@ -180,11 +189,10 @@
             worker.entry.id,
             tasks.len()
         );
-        let crashed = !worker.entry.leaving && !worker.draining;
         self.record_decision(None, "worker gone", why);
         for task in tasks {
-            if crashed {
-                self.count_crash(task, key, WorkerLoss::Crashed);
+            if let Some(loss) = loss {
+                self.count_crash(task, key, loss);
             }
             self.lose_task(task, now_ms);
         }
@@ -437,7 +445,7 @@
             );
             self.record_decision(None, "lease ended", why);
             for task in tasks {
-                self.count_crash(task, key, WorkerLoss::Silent);
+                self.count_crash(task, key, WorkerLoss::Unknown);
                 self.lose_task(task, now_ms);
             }
         }
--- a/crates/scheduler/src/preempt.rs
+++ b/crates/scheduler/src/preempt.rs
@@ -20,6 +20,9 @@
 /// The same for a group that is on time if it starts right after the stops: most of the difference.
 const MAX_LOSS_ON_TIME_CORE_MS: i64 = 2_000_000;
 
+/// Loss of a task that has few starts left: more than is acceptable for anything but a guarantee.
+const LOSS_OF_FEW_STARTS_CORE_MS: i64 = 1_000 * MAX_LOSS_ON_TIME_CORE_MS;
+
 /// Part of the reclaim time of a guaranteed job that is reserved for repeating a start.
 const RECLAIM_MARGIN_MS: u64 = 800;
 
@@ -213,6 +216,9 @@
 
     /// Returns the core-milliseconds discarded by stopping a task, including the rest of its gang.
     fn loss(&self, key: TaskKey, now_ms: u64) -> i64 {
+        if self.has_few_starts_left(key) {
+            return LOSS_OF_FEW_STARTS_CORE_MS;
+        }
         let members = match self.is_gang(key.group) {
             true => self.jobs[key.group.job].groups[key.group.group as usize]
                 .tasks
--- a/crates/scheduler/src/refill.rs
+++ b/crates/scheduler/src/refill.rs
@@ -110,7 +110,10 @@
             for task in self.workers[candidate.worker].tasks.keys().copied() {
                 let job = &self.jobs[task.group.job];
                 let step = job.step_of(task.group.group as usize);
-                let cheap = step.saves_progress && !step.gang && !step.lasting;
+                let cheap = step.saves_progress
+                    && !step.gang
+                    && !step.lasting
+                    && !self.has_few_starts_left(task);
                 if cheap
                     && job.stored.priority >= CHEAP_VICTIM_PRIORITY
                     && self.has_run_long_enough(task, now_ms)
