Give up a task at its third crash only if its workers had confirmed the runs

Cause: a worker that has crashed gets new tasks until it counts as unresponsive, after 2.9 s. Their starts stay without an answer, and once another incarnation answers, the crash counted as one right after the start of each of them. Three such crashes give a task up, though it may have run only once, or never.

Why it works: only a crash of a worker that had confirmed the run counts towards the limit of three. Others may still be the task's doing, if the answer was lost with the worker; they count towards the limit of five, which the rule on tasks that crash workers needs.

--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -15,11 +15,12 @@
 /// answers a renewal within 2 s.
 const START_PHASE_MS: u64 = 2_000;
 
-/// A task is given up after this many crashes within the start phase of its runs. Two are enough for the platform.
+/// A task is given up after this many crashes within the start phase of its runs that their workers confirmed. Two are
+/// enough for the platform.
 const MAX_CRASHES_AT_START: u32 = 3;
 
-/// A task is given up after this many crashes at any time of its runs. The platform bears two starts after the third
-/// crash.
+/// A task is given up after this many crashes at any time of its runs, or while it was unknown whether they had begun. The
+/// platform bears two starts after the third crash.
 const MAX_CRASHES: u32 = 5;
 
 /// A lasting task that has run for this long is no longer suspect.
@@ -38,7 +39,7 @@
 pub struct CrashCounts {
     /// Workers that crashed, or fell silent until their lease expired, while a run of the task was there.
     pub all: u32,
-    /// Those that crashed within the start phase of the run.
+    /// Those that crashed within the start phase of the run, after they had confirmed it.
     pub at_start: u32,
 }
 
@@ -75,7 +76,9 @@
         let Some(task) = self.task_mut(key) else {
             return;
         };
-        let at_start = answered_ms < task.began_ms() + START_PHASE_MS;
+        // A start without an answer may have come after the crash.
+        let confirmed = task.started_ms >= task.placed_ms;
+        let at_start = confirmed && answered_ms < task.began_ms() + START_PHASE_MS;
         match task.phase {
             Phase::Waiting | Phase::Assigned(_) | Phase::Ending { .. } | Phase::Done => {}
             // When an earlier planner started it is unknown.
--- a/crates/scheduler/tests/crashes.rs
+++ b/crates/scheduler/tests/crashes.rs
@@ -12,9 +12,9 @@
 use scheduler::prelude::*;
 use scheduler::{
     ActiveRun, BodyLimits, Configuration, EndedRun, JobId, JobRecord, JobState, Organisation,
-    RunOutcome, StepSpec, StoredJob, TaskName,
+    RunOutcome, StartOutcome, StepSpec, StoredJob, TaskName,
 };
-use support::{Harness, entry, job, limits, step, worker_of};
+use support::{Harness, entry, job, limits, starts, step, worker_of};
 
 /// The most starts of a task that crashes every worker: the platform bears two after the third crash.
 const MAX_STARTS: usize = 5;
@@ -427,6 +427,31 @@
     assert_eq!(site.state(1), JobState::Completed);
 }
 
+/// Other tasks crash the workers just before the starts arrive there, so that none is answered.
+#[test]
+fn keep_job_whose_starts_reach_crashed_workers() {
+    let mut entries: Vec<WorkerEntry> = (0..8).map(entry).collect();
+    let mut harness = Harness::with_workers(8);
+    let stored = job(1, 1, vec![step(1, 1)]);
+    harness.planner.add_job(stored, 1, harness.now_ms);
+    for lost in 0..MAX_STARTS {
+        for index in 0..harness.workers.len() {
+            harness.report(index, vec![], vec![]);
+        }
+        let orders = harness.plan();
+        assert_eq!(starts(&orders).len(), 1, "{lost} starts were lost");
+        harness.report_start_outcome(&orders[0], StartOutcome::NoAnswer);
+        harness.take_orders();
+        let worker = harness.planner.entry(worker_of(&orders[0])).unwrap();
+        let id = worker.id.clone();
+        for entry in entries.iter_mut().filter(|entry| entry.id == id) {
+            entry.born_unix_ms += 1;
+        }
+        harness.now_ms += AWAY_MS;
+        harness.list(entries.clone());
+    }
+}
+
 #[test]
 fn keep_lasting_task_whose_workers_crash_now_and_then() {
     let mut site = Site::new(8, is_never);
