Take back the crash of a silent worker that answers again

What callers would see: a job that could be done is shown as failed (LOST) after its task's workers were cut off five times, though none of them crashed.

Cause: a worker that is silent until its lease expires counts as crashed under each of its tasks, since it may have crashed. The count stays when the same incarnation answers again, which shows that it did not.

Evidence: complete_task_whose_workers_are_cut_off fails without the change: the job is given up after the fifth cut.

Why it works: a worker remembers the tasks for which its silence was counted. An answer that names the same incarnation takes the count back; with another incarnation, or none, it stays. After a takeover the count stays too, since the list is not stored.

--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -80,7 +80,7 @@
         let confirmed = task.started_ms >= task.placed_ms;
         let at_start = confirmed && answered_ms < task.began_ms() + START_PHASE_MS;
         match task.phase {
-            Phase::Waiting | Phase::Assigned(_) | Phase::Ending { .. } | Phase::Done => {}
+            Phase::Waiting | Phase::Assigned(_) | Phase::Ending { .. } | Phase::Done => return,
             // When an earlier planner started it is unknown.
             Phase::Inherited(_) => task.crashes.all += 1,
             _ => {
@@ -88,6 +88,25 @@
                 task.crashes.at_start += u32::from(at_start && loss == WorkerLoss::Crashed);
             }
         }
+        if loss == WorkerLoss::Silent
+            && let Some(worker) = self.workers.get_mut(worker)
+        {
+            worker.lost_in_silence.push(key);
+        }
+    }
+
+    /// Takes back the crash of a worker that was silent until its lease expired: the same incarnation has answered.
+    pub(crate) fn retract_crash(&mut self, worker: WorkerKey) {
+        let lost = self
+            .workers
+            .get_mut(worker)
+            .map_or_else(Vec::new, |w| std::mem::take(&mut w.lost_in_silence));
+        for key in lost {
+            if let Some(task) = self.task_mut(key) {
+                task.crashes.all = task.crashes.all.saturating_sub(1);
+                self.mark_dirty(key.group.job);
+            }
+        }
     }
 
     /// Counts the loss of the worker that ran a task in an earlier term, if another incarnation has replaced it.
--- a/crates/scheduler/src/events.rs
+++ b/crates/scheduler/src/events.rs
@@ -270,6 +270,9 @@
         worker.answered_ms = now_ms;
         worker.clock = Some((report.worker_clock_ms, now_ms));
         let seen = worker.ends_seen;
+        if report.born_unix_ms.is_some() {
+            self.retract_crash(key);
+        }
         for ended in report.ended.iter().filter(|ended| ended.number > seen) {
             if let Some(worker) = self.workers.get_mut(key) {
                 worker.ends_seen = worker.ends_seen.max(ended.number);
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -198,6 +198,8 @@
     pub orphaned_runs: HashMap<(TaskName, u32), Option<Resources>>,
     /// Those of its tasks that may crash it.
     pub suspects: Vec<TaskKey>,
+    /// Tasks that were lost when its lease expired, until it answers again.
+    pub lost_in_silence: Vec<TaskKey>,
     pub health: Health,
 }
 
@@ -224,6 +226,7 @@
             tasks: HashMap::new(),
             orphaned_runs: HashMap::new(),
             suspects: Vec::new(),
+            lost_in_silence: Vec::new(),
             health: Health::default(),
         }
     }
--- a/crates/scheduler/tests/crashes.rs
+++ b/crates/scheduler/tests/crashes.rs
@@ -44,6 +44,8 @@
     leaving: bool,
     /// When it is back, if it is down.
     back_ms: Option<u64>,
+    /// Until when it answers nothing although it is up.
+    cut_until_ms: u64,
     runs: Vec<SimRun>,
     ended: Vec<EndedRun>,
 }
@@ -77,6 +79,7 @@
                     crashes: 0,
                     leaving: false,
                     back_ms: None,
+                    cut_until_ms: 0,
                     runs: Vec::new(),
                     ended: Vec::new(),
                 })
@@ -165,6 +168,17 @@
         }
     }
 
+    /// Cuts a worker off until its lease has expired; it is the same incarnation afterwards.
+    fn cut_off(&mut self, index: usize) {
+        let lapsed = std::mem::take(&mut self.workers[index].runs);
+        let worker = &mut self.workers[index];
+        worker.cut_until_ms = self.harness.now_ms + LONG_AWAY_MS;
+        for run in lapsed {
+            let number = worker.ended.len();
+            worker.ended.push(end(&run, number, RunOutcome::Lapsed));
+        }
+    }
+
     fn is_gang(&self, task: TaskName) -> bool {
         let stored = self.stored.iter().find(|stored| stored.id == task.job);
         stored.is_some_and(|stored| stored.request.steps[task.step as usize].gang)
@@ -231,7 +245,7 @@
 
     fn report(&mut self, index: usize) {
         let worker = &self.workers[index];
-        if worker.back_ms.is_some() {
+        if worker.back_ms.is_some() || self.harness.now_ms < worker.cut_until_ms {
             self.harness
                 .planner
                 .record_unanswered_renewal(worker.key, false);
@@ -252,7 +266,8 @@
         let key = worker_of(order);
         let began_ms = self.harness.now_ms;
         let worker = self.workers.iter_mut().find(|worker| worker.key == key);
-        let Some(worker) = worker.filter(|worker| worker.back_ms.is_none()) else {
+        let worker = worker.filter(|w| w.back_ms.is_none() && began_ms >= w.cut_until_ms);
+        let Some(worker) = worker else {
             return;
         };
         match order {
@@ -452,6 +467,19 @@
     }
 }
 
+#[test]
+fn complete_task_whose_workers_are_cut_off() {
+    let mut site = Site::new(8, is_never);
+    site.work_ms = 4_000;
+    site.add(job(1, 1, vec![step(1, 1)]));
+    for _ in 0..2 * MAX_STARTS {
+        let busy = find_busy_worker(&mut site, 100);
+        site.cut_off(busy);
+    }
+    site.play(60_000);
+    assert_eq!(site.state(1), JobState::Completed);
+}
+
 #[test]
 fn keep_lasting_task_whose_workers_crash_now_and_then() {
     let mut site = Site::new(8, is_never);
