--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -15,11 +15,12 @@
 /// answers a renewal within 2 s.
 const START_PHASE_MS: u64 = 2_000;
 
-/// A task is given up after this many crashes within the start phase of its runs. Two are enough for the platform.
+/// A task is given up after this many crashes within the start phase of its runs that their workers confirmed. Two are
+/// enough for the platform.
 const MAX_CRASHES_AT_START: u32 = 3;
 
-/// A task is given up after this many crashes at any time of its runs. The platform bears two starts after the third
-/// crash.
+/// A task is given up after this many crashes at any time of its runs, or while it was unknown whether they had begun. The
+/// platform bears two starts after the third crash.
 const MAX_CRASHES: u32 = 5;
 
 /// From this many crashes on, the platform counts the starts of a task, and one that is stopped is wasted.
@@ -41,7 +42,7 @@
 pub struct CrashCounts {
     /// Workers that crashed, or may have crashed, while a run of the task was there.
     pub all: u32,
-    /// Those that crashed within the start phase of the run.
+    /// Those that crashed within the start phase of the run, after they had confirmed it.
     pub at_start: u32,
 }
 
@@ -71,9 +72,10 @@
 pub(crate) enum WorkerLoss {
     /// Another incarnation has replaced it, and it had not announced that it leaves.
     Crashed,
-    /// It may have crashed: it fell silent until its lease expired, or was replaced after it had announced that it
-    /// leaves.
-    Unknown,
+    /// It fell silent until its lease expired; it may have crashed or be cut off.
+    Silent,
+    /// Another incarnation has replaced it after it had announced that it leaves.
+    Replaced,
 }
 
 impl Planner {
@@ -84,9 +86,11 @@
         let Some(task) = self.task_mut(key) else {
             return;
         };
-        let at_start = answered_ms < task.began_ms() + START_PHASE_MS;
+        // A start without an answer may have come after the crash.
+        let confirmed = task.started_ms >= task.placed_ms;
+        let at_start = confirmed && answered_ms < task.began_ms() + START_PHASE_MS;
         match task.phase {
-            Phase::Waiting | Phase::Assigned(_) | Phase::Ending { .. } | Phase::Done => {}
+            Phase::Waiting | Phase::Assigned(_) | Phase::Ending { .. } | Phase::Done => return,
             // When an earlier planner started it is unknown.
             Phase::Inherited(_) => task.crashes.all += 1,
             _ => {
@@ -94,6 +98,25 @@
                 task.crashes.at_start += u32::from(at_start && loss == WorkerLoss::Crashed);
             }
         }
+        if loss == WorkerLoss::Silent
+            && let Some(worker) = self.workers.get_mut(worker)
+        {
+            worker.lost_in_silence.push(key);
+        }
+    }
+
+    /// Takes back the crash of a worker that was silent until its lease expired: the same incarnation has answered.
+    pub(crate) fn retract_crash(&mut self, worker: WorkerKey) {
+        let lost = self
+            .workers
+            .get_mut(worker)
+            .map_or_else(Vec::new, |w| std::mem::take(&mut w.lost_in_silence));
+        for key in lost {
+            if let Some(task) = self.task_mut(key) {
+                task.crashes.all = task.crashes.all.saturating_sub(1);
+                self.mark_dirty(key.group.job);
+            }
+        }
     }
 
     /// Counts the loss of the worker that ran a task in an earlier term, if another incarnation has replaced it.
--- a/crates/scheduler/src/events.rs
+++ b/crates/scheduler/src/events.rs
@@ -172,7 +172,7 @@
             return;
         };
         let loss = match worker.entry.leaving || worker.draining {
-            true => WorkerLoss::Unknown,
+            true => WorkerLoss::Replaced,
             false => WorkerLoss::Crashed,
         };
         self.remove_worker(key, why, Some(loss), now_ms);
@@ -278,6 +278,9 @@
         worker.answered_ms = now_ms;
         worker.clock = Some((report.worker_clock_ms, now_ms));
         let seen = worker.ends_seen;
+        if report.born_unix_ms.is_some() {
+            self.retract_crash(key);
+        }
         for ended in report.ended.iter().filter(|ended| ended.number > seen) {
             if let Some(worker) = self.workers.get_mut(key) {
                 worker.ends_seen = worker.ends_seen.max(ended.number);
@@ -445,7 +448,7 @@
             );
             self.record_decision(None, "lease ended", why);
             for task in tasks {
-                self.count_crash(task, key, WorkerLoss::Unknown);
+                self.count_crash(task, key, WorkerLoss::Silent);
                 self.lose_task(task, now_ms);
             }
         }
--- a/crates/scheduler/tests/crashes.rs
+++ b/crates/scheduler/tests/crashes.rs
@@ -16,7 +16,7 @@
     ActiveRun, BodyLimits, Configuration, EndedRun, JobId, JobRecord, JobState, Organisation,
     RunOutcome, StartOutcome, StepSpec, StoredJob, TaskName,
 };
-use support::{Harness, entry, job, limits, step, worker_of};
+use support::{Harness, entry, job, limits, starts, step, worker_of};
 
 /// The most starts that the platform bears of a task under which three workers have crashed.
 const MAX_LATE_STARTS: usize = 2;
@@ -53,6 +53,8 @@
     left: bool,
     /// When it is back, if it is down.
     back_ms: Option<u64>,
+    /// Until when it answers nothing although it is up.
+    cut_until_ms: u64,
     runs: Vec<SimRun>,
     ended: Vec<EndedRun>,
 }
@@ -101,6 +103,7 @@
                     leaving: false,
                     left: false,
                     back_ms: None,
+                    cut_until_ms: 0,
                     runs: Vec::new(),
                     ended: Vec::new(),
                 })
@@ -208,6 +211,17 @@
         self.workers[index].left = true;
     }
 
+    /// Cuts a worker off until its lease has expired; it is the same incarnation afterwards.
+    fn cut_off(&mut self, index: usize) {
+        let lapsed = std::mem::take(&mut self.workers[index].runs);
+        let worker = &mut self.workers[index];
+        worker.cut_until_ms = self.harness.now_ms + LONG_AWAY_MS;
+        for run in lapsed {
+            let number = worker.ended.len();
+            worker.ended.push(end(&run, number, RunOutcome::Lapsed));
+        }
+    }
+
     fn is_gang(&self, task: TaskName) -> bool {
         let stored = self.stored.iter().find(|stored| stored.id == task.job);
         stored.is_some_and(|stored| stored.request.steps[task.step as usize].gang)
@@ -282,7 +296,7 @@
 
     fn report(&mut self, index: usize) {
         let worker = &self.workers[index];
-        if worker.back_ms.is_some() {
+        if worker.back_ms.is_some() || self.harness.now_ms < worker.cut_until_ms {
             self.harness
                 .planner
                 .record_unanswered_renewal(worker.key, worker.left);
@@ -303,7 +317,8 @@
         let key = worker_of(order);
         let began_ms = self.harness.now_ms;
         let worker = self.workers.iter_mut().find(|worker| worker.key == key);
-        let Some(worker) = worker.filter(|worker| worker.back_ms.is_none()) else {
+        let worker = worker.filter(|w| w.back_ms.is_none() && began_ms >= w.cut_until_ms);
+        let Some(worker) = worker else {
             return self
                 .harness
                 .report_start_outcome(order, StartOutcome::NoAnswer);
@@ -483,6 +498,44 @@
     assert_eq!(site.state(1), JobState::Completed);
 }
 
+/// Other tasks crash the workers just before the starts arrive there, so that none is answered.
+#[test]
+fn keep_job_whose_starts_reach_crashed_workers() {
+    let mut entries: Vec<WorkerEntry> = (0..8).map(entry).collect();
+    let mut harness = Harness::with_workers(8);
+    let stored = job(1, 1, vec![step(1, 1)]);
+    harness.planner.add_job(stored, 1, harness.now_ms);
+    for lost in 0..MAX_STARTS {
+        for index in 0..harness.workers.len() {
+            harness.report(index, vec![], vec![]);
+        }
+        let orders = harness.plan();
+        assert_eq!(starts(&orders).len(), 1, "{lost} starts were lost");
+        harness.report_start_outcome(&orders[0], StartOutcome::NoAnswer);
+        harness.take_orders();
+        let worker = harness.planner.entry(worker_of(&orders[0])).unwrap();
+        let id = worker.id.clone();
+        for entry in entries.iter_mut().filter(|entry| entry.id == id) {
+            entry.born_unix_ms += 1;
+        }
+        harness.now_ms += AWAY_MS;
+        harness.list(entries.clone());
+    }
+}
+
+#[test]
+fn complete_task_whose_workers_are_cut_off() {
+    let mut site = Site::new(8, is_never);
+    site.work_ms = 4_000;
+    site.add(job(1, 1, vec![step(1, 1)]));
+    for _ in 0..2 * MAX_STARTS {
+        let busy = find_busy_worker(&mut site, 100);
+        site.cut_off(busy);
+    }
+    site.play(60_000);
+    assert_eq!(site.state(1), JobState::Completed);
+}
+
 #[test]
 fn keep_lasting_task_whose_workers_crash_now_and_then() {
     let mut site = Site::new(8, is_never);
