Don't blame a task for a crash beside another suspect, and start beside suspects last

Of two suspects on a crashed worker neither is counted as the cause now; the loss still counts among all losses. Of workers that a group may use after its wait, those with a suspect come last.

--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -3,6 +3,8 @@
 //!
 //! A crashed worker reports no ends. All that it ran is suspect, most of all what it had just started.
 
+use std::collections::HashSet;
+
 use serde::{Deserialize, Serialize};
 
 use crate::group::{GroupKey, Phase, TaskKey};
@@ -42,7 +44,7 @@
 pub struct CrashCounts {
     /// Workers that crashed, or may have crashed, while a run of the task was there.
     pub all: u32,
-    /// Those that crashed within the start phase of the run, after they had confirmed it.
+    /// Those that crashed within the start phase of the run, after they had confirmed it, and without another suspect.
     pub at_start: u32,
 }
 
@@ -79,30 +81,47 @@
 }
 
 impl Planner {
-    /// Counts the loss of a worker for a task that runs or may run there. A task is not suspect for what happens after
+    /// Counts the loss of a worker for the tasks that run or may run there. A task is not suspect for what happens after
     /// its run has ended, or before its start is sent.
-    pub(crate) fn count_crash(&mut self, key: TaskKey, worker: WorkerKey, loss: WorkerLoss) {
-        let answered_ms = self.workers.get(worker).map_or(0, |w| w.answered_ms);
-        let Some(task) = self.task_mut(key) else {
+    pub(crate) fn count_crashes(&mut self, tasks: &[TaskKey], worker: WorkerKey, loss: WorkerLoss) {
+        let Some(lost) = self.workers.get(worker) else {
             return;
         };
+        let answered_ms = lost.answered_ms;
+        let suspects: HashSet<GroupKey> = lost.suspects.iter().map(|key| key.group).collect();
+        for key in tasks.iter().copied() {
+            // Another suspect there may as well be the cause.
+            let is_sole_suspect = suspects.iter().all(|group| *group == key.group);
+            let may_be_at_start = loss == WorkerLoss::Crashed && is_sole_suspect;
+            if self.count_crash(key, may_be_at_start, answered_ms)
+                && loss == WorkerLoss::Silent
+                && let Some(worker) = self.workers.get_mut(worker)
+            {
+                worker.lost_in_silence.push(key);
+            }
+        }
+    }
+
+    /// Counts the loss of a worker that answered last at `answered_ms` for one task. Returns whether it did.
+    fn count_crash(&mut self, key: TaskKey, may_be_at_start: bool, answered_ms: u64) -> bool {
+        let Some(task) = self.task_mut(key) else {
+            return false;
+        };
         // A start without an answer may have come after the crash.
         let confirmed = task.started_ms >= task.placed_ms;
         let at_start = confirmed && answered_ms < task.began_ms() + START_PHASE_MS;
         match task.phase {
-            Phase::Waiting | Phase::Assigned(_) | Phase::Ending { .. } | Phase::Done => return,
+            Phase::Waiting | Phase::Assigned(_) | Phase::Ending { .. } | Phase::Done => {
+                return false;
+            }
             // When an earlier planner started it is unknown.
             Phase::Inherited(_) => task.crashes.all += 1,
             _ => {
                 task.crashes.all += 1;
-                task.crashes.at_start += u32::from(at_start && loss == WorkerLoss::Crashed);
+                task.crashes.at_start += u32::from(at_start && may_be_at_start);
             }
         }
-        if loss == WorkerLoss::Silent
-            && let Some(worker) = self.workers.get_mut(worker)
-        {
-            worker.lost_in_silence.push(key);
-        }
+        true
     }
 
     /// Takes back the crash of a worker that was silent until its lease expired: the same incarnation has answered.
--- a/crates/scheduler/src/events.rs
+++ b/crates/scheduler/src/events.rs
@@ -190,10 +190,10 @@
             tasks.len()
         );
         self.record_decision(None, "worker gone", why);
+        if let Some(loss) = loss {
+            self.count_crashes(&tasks, key, loss);
+        }
         for task in tasks {
-            if let Some(loss) = loss {
-                self.count_crash(task, key, loss);
-            }
             self.lose_task(task, now_ms);
         }
         if let Some(worker) = self.workers.remove(key)
@@ -447,8 +447,8 @@
                 now_ms.saturating_sub(worker.answered_ms)
             );
             self.record_decision(None, "lease ended", why);
+            self.count_crashes(&tasks, key, WorkerLoss::Silent);
             for task in tasks {
-                self.count_crash(task, key, WorkerLoss::Silent);
                 self.lose_task(task, now_ms);
             }
         }
--- a/crates/scheduler/src/fit.rs
+++ b/crates/scheduler/src/fit.rs
@@ -15,7 +15,7 @@
     pub slots_left: u32,
     /// Free accelerators on its whole rack.
     pub rack_free: i64,
-    /// Whether runs failed on the worker recently; such workers are chosen last.
+    /// Whether runs failed on the worker recently, or a task there may crash it; such workers are chosen last.
     pub recently_failed: bool,
     /// Whether nothing runs on the worker, and nothing of the group was placed there.
     pub empty: bool,
@@ -165,8 +165,8 @@
         let mut candidates = Vec::with_capacity(self.workers.len());
         let joins_suspects = self.may_join_suspects(group, now_ms);
         for (key, worker) in &self.workers {
-            if !self.is_usable(worker, now_ms) || !joins_suspects && self.is_held_by_suspect(worker)
-            {
+            let is_held = self.is_held_by_suspect(worker);
+            if !self.is_usable(worker, now_ms) || is_held && !joins_suspects {
                 continue;
             }
             let free = worker.free();
@@ -180,7 +180,7 @@
                 free,
                 slots_left: self.slots_left(group, worker),
                 rack_free: 0,
-                recently_failed: worker.health.has_recent_failure(),
+                recently_failed: worker.health.has_recent_failure() || is_held,
                 empty: worker.is_empty(),
             });
         }
