Count a run that is listed as done while the next start is being stored

A worker whose answers were lost until its lease had ended may list a run as done right after the planner has assigned the task elsewhere. The planner ignored that end, sent the start, and the work was done a second time.

An assignment that is not in the store yet has sent no order, so the success counts and the start is withdrawn. A flush that is being written may still store the assignment; complete_flush sends nothing for a task that is no longer assigned, and the next record says that the task is done. Gangs stay as they were: some of their members may have been started already.

The new test fails without the change: the start of run 2 is sent. It narrows the window and does not close it.

--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -20,13 +20,17 @@
         };
         let Some(task) = self.task(key) else { return };
         let (phase, run) = (task.phase, task.run);
-        if run != ended.run || matches!(phase, Phase::Done) {
+        if matches!(phase, Phase::Done) {
             return;
         }
-        // The lease of the worker expired, but the run may have been done before that. Nothing else runs yet, so its
-        // success counts.
-        let lease_expired = phase == Phase::Waiting;
-        if !lease_expired && phase.worker() != Some(worker) {
+        // The lease of the worker expired, but the run may have been done before that. If nothing else runs yet, its
+        // success counts, and a next start that was not sent is withdrawn.
+        let lease_expired = match phase {
+            Phase::Waiting => run == ended.run,
+            Phase::Assigned(_) => run > ended.run && !self.is_gang(key.group),
+            _ => false,
+        };
+        if !lease_expired && (run != ended.run || phase.worker() != Some(worker)) {
             return;
         }
         if lease_expired && ended.outcome != RunOutcome::Done {
@@ -42,8 +46,9 @@
                 Some(id),
                 "ended",
                 format!(
-                    "task {} run {run} how {:?} end {}, {discarded} core-ms discarded",
+                    "task {} run {} how {:?} end {}, {discarded} core-ms discarded",
                     ended.task.map_or_else(String::new, |t| t.to_string()),
+                    ended.run,
                     ended.outcome,
                     ended.number
                 ),
--- a/crates/scheduler/tests/takeover.rs
+++ b/crates/scheduler/tests/takeover.rs
@@ -334,3 +334,30 @@
             .all(|record| record.state == JobState::Running)
     );
 }
+
+/// A worker whose answers were lost until its lease had ended may list a run as done when the next start is being
+/// stored.
+#[test]
+fn end_of_run_whose_lease_ended_withdraws_unsent_start() {
+    let mut harness = Harness::with_workers(2);
+    harness
+        .planner
+        .add_job(job(1, 1, vec![step(1, 8)]), 1, harness.now_ms);
+    let orders = harness.start_all();
+    let first = support::worker_of(&orders[0]);
+    let silent = harness.workers.iter().position(|w| *w == first).unwrap();
+    harness.now_ms += limits().lease_ms + 500;
+    harness.report(1 - silent, vec![], vec![]);
+    let (_, flush) = harness.plan_without_store();
+    let assigned_run = flush.writes[0].record.groups[0].units[0].run;
+    assert_eq!(assigned_run, 2, "the lease must have expired by now");
+    harness.report(
+        silent,
+        vec![],
+        vec![ended(&orders[0], 1, RunOutcome::Done, "")],
+    );
+    harness.planner.complete_flush(flush, harness.now_ms);
+    let (later, flush) = harness.plan_without_store();
+    assert!(starts(&later).is_empty(), "the work is done: {later:?}");
+    assert_eq!(flush.writes[0].record.state, JobState::Completed);
+}
--- a/crates/scheduler/tests/takeover_model.rs
+++ b/crates/scheduler/tests/takeover_model.rs
@@ -3,7 +3,8 @@
 //! The model has one task, two workers, planners of terms 1 to 3, and the store. A planner records an assignment before
 //! it sends a start, records an end before it confirms it, and writes only on condition that its term has the
 //! leadership. A successor reads the store, then polls the workers; a worker refuses lower terms from then on. A task
-//! that the store assigns to a worker that does not answer counts as running until that worker's lease has expired.
+//! that is assigned to a worker that does not answer counts as running until that worker's lease has expired, counted
+//! from its last answer; an end that it lists later is confirmed with the others, and counts if no later start was sent.
 //! Starts may be delivered late, twice or never; planners may be killed, or continue without knowing that they were
 //! replaced.
 //!
@@ -28,6 +29,7 @@
     WorkerTakesLowerTerms,
     SuccessorForgetsSilentWorker,
     LateStartIsCarriedOut,
+    LeaseFromSending,
 }
 
 /// A start in transit; `lease_expiries` identifies the lease under which it was sent.
@@ -59,7 +61,7 @@
     done: bool,
     stored: bool,
     answered: [bool; WORKERS],
-    /// Lease expiries of each worker when the planner's term began.
+    /// Lease expiries of each worker when the planner's term began, or at the worker's last answer.
     lease_expiries: [u8; WORKERS],
     to_send: Option<Start>,
 }
@@ -156,7 +158,7 @@
     let mut next = Vec::new();
     for worker in 0..WORKERS {
         next.push(with_change(state, |w| renew_lease(w, index, worker, fault)));
-        let unresponsive = planner.may_run == Some(worker as u8) && !planner.answered[worker];
+        let unresponsive = planner.may_run == Some(worker as u8) && planner.to_send.is_none();
         let expired = state.workers[worker].lease_expiries > planner.lease_expiries[worker];
         if unresponsive && (expired || fault == Fault::SuccessorForgetsSilentWorker) {
             next.push(with_change(state, |w| w.planners[index].may_run = None));
@@ -164,10 +166,14 @@
         let free = planner.may_run.is_none() && !planner.done && planner.to_send.is_none();
         if free && planner.answered[worker] && planner.run < MAX_RUNS {
             if leads {
-                next.push(with_change(state, |w| assign(w, index, worker, true)));
+                next.push(with_change(state, |w| {
+                    assign(w, index, worker, true, fault)
+                }));
             }
             if fault == Fault::StartBeforeIntent {
-                next.push(with_change(state, |w| assign(w, index, worker, false)));
+                next.push(with_change(state, |w| {
+                    assign(w, index, worker, false, fault)
+                }));
             }
         }
     }
@@ -183,16 +189,28 @@
             w.planners[index].stored = true;
         }));
     }
-    if planner.done && (planner.stored || fault == Fault::ConfirmBeforeStored) {
-        next.extend((0..WORKERS).map(|worker| with_change(state, |w| confirm(w, term, worker))));
+    for worker in 0..WORKERS {
+        let stored = planner.done && (planner.stored || fault == Fault::ConfirmBeforeStored);
+        // Confirmations are cumulative, so the end of an earlier run is confirmed although it no longer counts.
+        let earlier = state.workers[worker]
+            .done
+            .is_some_and(|(run, _)| planner.answered[worker] && run < planner.run);
+        if stored || earlier {
+            next.push(with_change(state, |w| confirm(w, term, worker)));
+        }
     }
     next
 }
 
 /// Lets a planner assign the task to a worker; `stored` says whether the assignment is in the store.
-fn assign(state: &mut State, index: usize, worker: usize, stored: bool) {
-    let lease_expiries = state.workers[worker].lease_expiries;
+fn assign(state: &mut State, index: usize, worker: usize, stored: bool, fault: Fault) {
+    let current = state.workers[worker].lease_expiries;
     let planner = &mut state.planners[index];
+    // A start carries a lease counted from the worker's last answer.
+    let lease_expiries = match fault {
+        Fault::LeaseFromSending => current,
+        _ => planner.lease_expiries[worker],
+    };
     planner.run += 1;
     planner.may_run = Some(worker as u8);
     planner.to_send = Some(Start {
@@ -219,10 +237,13 @@
     worker.term = worker.term.max(term);
     let first = !planner.answered[worker_index];
     planner.answered[worker_index] = true;
+    planner.lease_expiries[worker_index] = worker.lease_expiries;
     let here = planner.may_run == Some(worker_index as u8);
-    if worker.done.is_some() && (here || planner.may_run.is_none()) {
+    let unsent = planner.to_send.is_some();
+    if worker.done.is_some() && (here || unsent || planner.may_run.is_none()) {
         planner.done = true;
         planner.may_run = None;
+        planner.to_send = None;
     } else if here && first && worker.running.is_none() && planner.to_send.is_none() {
         planner.may_run = None;
     }
@@ -311,6 +332,7 @@
 #[case::worker_takes_lower_terms(Fault::WorkerTakesLowerTerms)]
 #[case::successor_forgets_silent_worker(Fault::SuccessorForgetsSilentWorker)]
 #[case::late_start_is_carried_out(Fault::LateStartIsCarriedOut)]
+#[case::lease_from_sending(Fault::LeaseFromSending)]
 fn take_over_without_rule_is_found(#[case] fault: Fault) {
     let (seen, violation) = explore(fault);
     println!("{fault:?}: {violation:?} after {seen} states");
