Give equivalent states of the take-over model one form

What a killed planner knew has no effect any more, and a start that its worker refuses now and for ever is the same as a lost one, which is reachable anyway: terms, lease expiries and ended runs of a worker only rise.

--- a/crates/scheduler/tests/takeover_model.rs
+++ b/crates/scheduler/tests/takeover_model.rs
@@ -127,7 +127,7 @@
         next.push(with_change(state, |w| take_lead(w, lead)));
     }
     for index in (0..TERMS).filter(|index| state.planners[*index].alive) {
-        next.push(with_change(state, |w| w.planners[index].alive = false));
+        next.push(with_change(state, |w| kill(w, index)));
         next.extend(planner_steps(state, index, fault));
     }
     for at in 0..state.sent.len() {
@@ -139,9 +139,24 @@
     for worker_index in 0..WORKERS {
         next.extend(worker_steps(state, worker_index));
     }
+    // A start that its worker refuses now and for ever is the same as a lost one.
+    for state in &mut next {
+        let workers = state.workers;
+        state
+            .sent
+            .retain(|start| !is_refused(start, &workers[start.worker as usize], fault));
+    }
     next
 }
 
+/// Returns whether a worker refuses a start, now and at any later time.
+fn is_refused(start: &Start, worker: &Worker, fault: Fault) -> bool {
+    let lower = start.term < worker.term && fault != Fault::WorkerTakesLowerTerms;
+    let late =
+        start.lease_expiries != worker.lease_expiries && fault != Fault::LateStartIsCarriedOut;
+    lower || late || start.run <= worker.highest_ended_run
+}
+
 fn with_change(state: &State, change: impl FnOnce(&mut State)) -> State {
     let mut next = state.clone();
     change(&mut next);
@@ -150,6 +165,11 @@
     next
 }
 
+/// Kills a planner. What it knew no longer matters, so that the state has one form.
+fn kill(state: &mut State, index: usize) {
+    state.planners[index] = Planner::default();
+}
+
 /// Returns the possible steps of a planner.
 fn planner_steps(state: &State, index: usize, fault: Fault) -> Vec<State> {
     let planner = state.planners[index];
@@ -231,8 +251,7 @@
     let worker = &mut state.workers[worker_index];
     let planner = &mut state.planners[index];
     if worker.term > term && fault != Fault::WorkerTakesLowerTerms {
-        planner.alive = false;
-        return;
+        return kill(state, index);
     }
     worker.term = worker.term.max(term);
     let first = !planner.answered[worker_index];
@@ -266,10 +285,7 @@
 fn deliver(state: &mut State, at: usize, fault: Fault) {
     let start = state.sent[at];
     let worker = &mut state.workers[start.worker as usize];
-    let lower = start.term < worker.term && fault != Fault::WorkerTakesLowerTerms;
-    let late =
-        start.lease_expiries != worker.lease_expiries && fault != Fault::LateStartIsCarriedOut;
-    if lower || late || start.run <= worker.highest_ended_run || worker.running.is_some() {
+    if is_refused(&start, worker, fault) || worker.running.is_some() {
         return;
     }
     worker.term = worker.term.max(start.term);
