Record late and abandoned answers, and the time of planning passes

An answer about a job's state that was late, or that its caller did not wait for, left neither a line nor a metric, so that a leader that starves its callers could not be told from a full link or a store that is slow to answer reads.

Metrics hemlockloft_query and hemlockloft_planning_pass; lines 'answered late' (over 500 ms), 'caller left unanswered' and 'a pass took long' (over 250 ms).

--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -87,10 +87,14 @@
 pub enum Timing {
     /// From a job's arrival to its answer.
     Accept,
+    /// From the arrival of a call that changes nothing to its answer.
+    Query,
     /// From the time the planner learns of a job to its first start.
     FirstStart,
     /// From taking the lead to the end of reading the predecessor's state.
     TakeOver,
+    /// Duration of a planning pass, during which the node's thread does nothing else.
+    PlanningPass,
     /// Duration of a conditional write to the store.
     StoreCall,
     /// Duration of an order to a worker.
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -24,6 +24,9 @@
 /// Part of a caller's timeout reserved for the way back.
 const ANSWER_MARGIN_MS: u64 = 250;
 
+/// An answer that takes longer than this is logged even if it is a success.
+const LATE_ANSWER_MS: u64 = 500;
+
 /// Serves callers.
 pub(crate) struct CallerEndpoint(pub Arc<Node>);
 
@@ -55,6 +58,40 @@
     }
 }
 
+/// Logs a call if it is dropped before it is answered, which happens when its caller closes the connection.
+struct AbandonedCall<'c> {
+    node: &'c Node,
+    call: &'c Call,
+    method: &'c Method,
+}
+
+impl<'c> AbandonedCall<'c> {
+    /// Begins to watch a call.
+    fn watch(node: &'c Node, call: &'c Call, method: &'c Method) -> AbandonedCall<'c> {
+        AbandonedCall { node, call, method }
+    }
+
+    /// Ends the watch of a call that is answered.
+    fn is_answered(self) {
+        std::mem::forget(self);
+    }
+}
+
+impl Drop for AbandonedCall<'_> {
+    fn drop(&mut self) {
+        let took_ms = now_ms().saturating_sub(self.call.arrived_ms);
+        let fields = [
+            ("method", Value::from(self.method.as_str())),
+            ("path", Value::from(self.call.target.name())),
+            ("took_ms", Value::from(took_ms)),
+        ];
+        let id = self.call.target.last_part();
+        self.node
+            .log
+            .request("intake", "caller left unanswered", id, &fields);
+    }
+}
+
 async fn answer(node: &Arc<Node>, mut request: Request) -> Response {
     let headers = request.headers().clone();
     let header = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
@@ -71,10 +108,12 @@
         },
     };
     let method = request.method().clone();
+    let abandoned = AbandonedCall::watch(node, &call, &method);
     let reply = match read_body(node, &mut request).await {
         Ok(body) => answer_or_pass_on(node, &call, &method, &body).await,
         Err(reply) => reply,
     };
+    abandoned.is_answered();
     log_reply(node, &call, &method, &reply);
     let mut response = reply.into_response();
     if node.is_stopping() {
@@ -170,10 +209,15 @@
     let id = call.target.last_part();
     let (what, why, counter) = match reply {
         Reply::State(_) | Reply::Waiting(_) => {
-            if *method == Method::POST {
-                node.metrics.record(Timing::Accept, took_ms);
+            match *method {
+                Method::POST => node.metrics.record(Timing::Accept, took_ms),
+                Method::GET => node.metrics.record(Timing::Query, took_ms),
+                _ => {}
+            }
+            if took_ms <= LATE_ANSWER_MS {
+                return;
             }
-            return;
+            ("answered late", String::new(), None)
         }
         Reply::Gone => ("no such job", String::new(), None),
         Reply::Refused { reason, detail, .. } => {
--- a/crates/control/src/term.rs
+++ b/crates/control/src/term.rs
@@ -34,6 +34,9 @@
 /// The longest time between two planning passes: leases expire and scheduled runs come due without an event.
 const PLAN_EVERY_MS: u64 = 50;
 
+/// A planning pass that takes longer than this is logged: the node's callers and its renewals wait for as long.
+const LONG_PASS_MS: u64 = 250;
+
 /// Delay before retrying after a failed call.
 const RETRY_PAUSE_MS: u64 = 60;
 
@@ -215,6 +218,7 @@
             planner.plan(now_ms(), unix_ms());
             planner.begin_flush(unix_ms())
         };
+        report_pass(term, now_ms().saturating_sub(planned_ms));
         report_decisions(term);
         if term.lock_planner().is_superseded() {
             return LATER_TERM.to_string();
@@ -232,6 +236,17 @@
     }
 }
 
+/// Records how long a planning pass took, and logs a long one.
+fn report_pass(term: &Term, took_ms: u64) {
+    term.node.metrics.record(Timing::PlanningPass, took_ms);
+    if took_ms > LONG_PASS_MS {
+        let fields = [("took_ms", Value::from(took_ms))];
+        term.node
+            .log
+            .general("planner", "a pass took long", &fields);
+    }
+}
+
 /// Logs decisions and updates the counters.
 fn report_decisions(term: &Term) {
     let node = &term.node;
--- a/crates/control/tests/calls.rs
+++ b/crates/control/tests/calls.rs
@@ -34,6 +34,20 @@
     .await;
 }
 
+/// Guards against an answer about a job that is late without a trace in the metrics.
+#[tokio::test(flavor = "multi_thread")]
+async fn query_and_planning_pass_are_timed() {
+    let site = Site::start(1, LONG_RUN).await;
+    assert_eq!(site.submit(0, 1, 1).await, 200);
+    assert_eq!(site.read_metric(0, "query_ms_count").await, 0);
+    site.state(0, 1).await;
+    assert_eq!(site.read_metric(0, "query_ms_count").await, 1);
+    site.wait("a pass is recorded", async |site| {
+        site.read_metric(0, "planning_pass_ms_count").await > 0
+    })
+    .await;
+}
+
 /// The write is conditional on the configuration that was checked, so that a revoked key is refused even before the
 /// node's watch reports the new configuration.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -166,13 +166,17 @@
 
     /// Returns how many calls a node has passed on to its peers.
     pub async fn count_passed_on(&self, at: usize) -> u64 {
+        self.read_metric(at, "passed_on_total").await
+    }
+
+    /// Returns the value of a node's metric, whose name lacks the common prefix.
+    pub async fn read_metric(&self, at: usize, name: &str) -> u64 {
         let url = format!("http://{}/metrics", self.nodes[at].metrics);
         let response = self.client.get(url).send().await.unwrap();
         let text = response.text().await.unwrap();
-        let count = text
-            .lines()
-            .find_map(|line| line.strip_prefix("hemlockloft_passed_on_total "));
-        count.unwrap().parse().unwrap()
+        let prefix = format!("hemlockloft_{name} ");
+        let value = text.lines().find_map(|line| line.strip_prefix(&prefix));
+        value.unwrap().parse().unwrap()
     }
 
     /// Waits until a condition holds; `what` names it in the panic if it never does.
