--- a/crates/control/src/job_calls.rs
+++ b/crates/control/src/job_calls.rs
@@ -200,7 +200,14 @@
     let timeout_ms = retry_limits(node)
         .timeout_ms
         .min(call.answer_by_ms.saturating_sub(read_ms).max(1));
-    match node.store.read_all(keys::WAITING_PREFIX, timeout_ms).await {
+    let read = tokio::time::timeout(
+        Duration::from_millis(timeout_ms),
+        node.store.read_all(keys::WAITING_PREFIX, timeout_ms),
+    );
+    let Ok(read) = read.await else {
+        return Reply::refused(Counter::RefusedStore, "the list did not arrive in time");
+    };
+    match read {
         Ok((items, _)) => {
             let mut counts: HashMap<String, usize> = HashMap::new();
             for item in items {
--- a/crates/control/tests/recovery.rs
+++ b/crates/control/tests/recovery.rs
@@ -8,6 +8,7 @@
 
 use platform_standin::StoreFault;
 use support::Site;
+use support::slow_link::start_slow_link;
 
 /// Long enough that a task still runs while something is done to the site.
 const LONG_RUN: Duration = Duration::from_secs(3_600);
@@ -222,3 +223,22 @@
         .await;
     assert_eq!(site.audit.violations(), Vec::<String>::new());
 }
+
+/// Reading the state takes longer than the timeout of a call: its answer is large, and the leader's link is narrow.
+#[tokio::test(flavor = "multi_thread")]
+async fn jobs_run_after_takeover_over_narrow_link() {
+    let mut site = Site::start(1, LONG_RUN).await;
+    let spec = "x".repeat(4_000);
+    for id in 1..=60 {
+        assert_eq!(site.submit_with(0, id, 1, &spec).await, 200);
+    }
+    site.nodes[0].kill();
+    let link = start_slow_link(site.store.address(), 150_000).await;
+    let next = site.add_node_at(link).await;
+    finish_all_tasks(&site);
+    site.wait("the last job is completed", async |site| {
+        site.state(next, 60).await == "completed"
+    })
+    .await;
+    assert_eq!(site.audit.violations(), Vec::<String>::new());
+}
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod slow_link;
+
 use std::net::{SocketAddr, TcpListener};
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -213,9 +215,14 @@
 
     /// Submits a job of `count` tasks; returns the status, or 0 without an answer.
     pub async fn submit(&self, at: usize, id: u64, count: u32) -> u16 {
+        self.submit_with(at, id, count, "text").await
+    }
+
+    /// Submits a job of `count` tasks with this `spec`; returns the status, or 0 without an answer.
+    pub async fn submit_with(&self, at: usize, id: u64, count: u32, spec: &str) -> u16 {
         let step =
             json!({"count": count, "cpu": 1000, "mem_mb": 100, "gpu": 1, "estimate_ms": 100});
-        let body = json!({"spec": "text", "steps": [step]}).to_string();
+        let body = json!({"spec": spec, "steps": [step]}).to_string();
         let response = self
             .call(at, "POST", &format!("/q/{id:016x}"), KEY, body)
             .await;
