Step down when a takeover cannot read the state

Cause: a new leader repeated failed reads without end. Writes that fail for 4 s already end a term; reads did not.

Evidence: leader_that_cannot_read_the_state_steps_down failed on the code before ('never seen: another node plans', 64 s), with a store that leaves one node's lists unanswered, and passes in under 7 s.

A term now also ends if a read has failed 4 s after its beginning while the lead is valid, and the node stays out of the next election as after unanswered writes. The read that is under way is not cut off.

--- a/crates/control/src/lead.rs
+++ b/crates/control/src/lead.rs
@@ -16,6 +16,7 @@
 use crate::node::Node;
 use crate::peers::ask_to_yield;
 use crate::record_writer::UNANSWERED_WRITES;
+use crate::takeover::UNREAD_STATE;
 use crate::term::run_term;
 
 /// How long the lead is valid without renewal; the shortest lease that the users' stores grant. For that long after a
@@ -42,8 +43,8 @@
 /// Delay before retrying after a failed call.
 const RETRY_PAUSE_MS: u64 = 150;
 
-/// How long a node does not try to take the lead after it stepped down because of unanswered writes. Its lease expires
-/// meanwhile, and another node takes over.
+/// How long a node does not try to take the lead after it stepped down because of unanswered writes or an unread state.
+/// Its lease expires meanwhile, and another node takes over.
 const STEP_DOWN_PAUSE_MS: u64 = 3_000;
 
 /// Returns how long the lead is valid without renewal, on this deployment.
@@ -84,7 +85,7 @@
                     ("why", Value::from(why.as_str())),
                 ];
                 node.log.general("lead", "lost", &fields);
-                if why == UNANSWERED_WRITES {
+                if why == UNANSWERED_WRITES || why == UNREAD_STATE {
                     tokio::time::sleep(Duration::from_millis(STEP_DOWN_PAUSE_MS)).await;
                 }
             }
--- a/crates/control/src/record_writer.rs
+++ b/crates/control/src/record_writer.rs
@@ -15,9 +15,9 @@
 /// Timeout of a write, after which it is retried on a new connection.
 const CALL_TIMEOUT_MS: u64 = 900;
 
-/// A planner steps down if its writes are unanswered for this long while its lead is being renewed. This leaves time
-/// for several attempts at a store that is 80 times slower than usual.
-const STEP_DOWN_AFTER_MS: u64 = 4_000;
+/// A planner steps down if its writes, or the reads of its takeover, fail for this long while its lead is being renewed.
+/// This leaves time for several attempts at a store that is 80 times slower than usual.
+pub(crate) const STEP_DOWN_AFTER_MS: u64 = 4_000;
 
 /// Delay before a write is retried.
 const RETRY_PAUSE_MS: u64 = 50;
--- a/crates/control/src/takeover.rs
+++ b/crates/control/src/takeover.rs
@@ -16,6 +16,9 @@
 /// Timeout of one read.
 const CALL_TIMEOUT_MS: u64 = 900;
 
+/// Reason for stepping down: the lead can be renewed, but the state cannot be read.
+pub(crate) const UNREAD_STATE: &str = "the state cannot be read";
+
 /// Reads workers, jobs, cancels and records into the term's planner, and starts renewing workers' leases. Returns the
 /// writer of records and the revision to watch requests from.
 pub(crate) async fn load_state(term: &Arc<Term>) -> Result<(RecordWriter, u64), CallError> {
--- a/crates/control/src/term.rs
+++ b/crates/control/src/term.rs
@@ -15,9 +15,9 @@
 use crate::metrics::{Counter, Timing};
 use crate::node::Node;
 use crate::orders::dispatch_orders;
-use crate::record_writer::{LATER_TERM, RecordWriter};
+use crate::record_writer::{LATER_TERM, RecordWriter, STEP_DOWN_AFTER_MS};
 use crate::request_watch::{follow_requests, poll_missed_jobs};
-use crate::takeover::load_state;
+use crate::takeover::{UNREAD_STATE, load_state};
 
 /// How long a planner that cannot renew its lead keeps renewing workers' leases, so that an outage of the store ends no
 /// run. With the lease itself and the validity of the lead, an outage of 13 s is bridged; the longest that the users'
@@ -170,6 +170,9 @@
                     "state not read yet",
                     &[("why", Value::from(e.to_string()))],
                 );
+                if term.is_lead_valid() && now_ms() > began_ms + STEP_DOWN_AFTER_MS {
+                    return UNREAD_STATE.to_string();
+                }
                 tokio::time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
             }
         }
--- a/crates/control/tests/recovery.rs
+++ b/crates/control/tests/recovery.rs
@@ -242,3 +242,22 @@
     .await;
     assert_eq!(site.audit.violations(), Vec::<String>::new());
 }
+
+/// A leader whose reads fail must not keep the lead from nodes that could plan.
+#[tokio::test(flavor = "multi_thread")]
+async fn leader_that_cannot_read_the_state_steps_down() {
+    let mut site = Site::start(1, LONG_RUN).await;
+    let store_endpoint = site.store.open_endpoint().await.unwrap();
+    store_endpoint.set_fault(StoreFault::StalledLists);
+    site.nodes[0].kill();
+    let cut = site.add_node_at(store_endpoint.address()).await;
+    site.wait("the cut node is the leader", async |site| {
+        site.read_metric(cut, "leads_taken_total").await == 1
+    })
+    .await;
+    assert_eq!(site.submit(cut, 1, 1).await, 200);
+    site.add_node().await;
+    site.wait("another node plans", async |site| site.audit.running() == 1)
+        .await;
+    assert_eq!(site.audit.violations(), Vec::<String>::new());
+}
