--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -72,7 +72,7 @@
     }
 
     /// Ends the watch of a call that is answered.
-    fn is_answered(self) {
+    fn finish(self) {
         std::mem::forget(self);
     }
 }
@@ -113,7 +113,7 @@
         Ok(body) => answer_or_pass_on(node, &call, &method, &body).await,
         Err(reply) => reply,
     };
-    abandoned.is_answered();
+    abandoned.finish();
     log_reply(node, &call, &method, &reply);
     let mut response = reply.into_response();
     if node.is_stopping() {
