--- a/crates/control/src/term.rs
+++ b/crates/control/src/term.rs
@@ -15,9 +15,9 @@
 use crate::metrics::{Counter, Timing};
 use crate::node::{Node, ORDER_TIMEOUT_MS};
 use crate::orders::dispatch_orders;
-use crate::record_writer::{LATER_TERM, RecordWriter};
+use crate::record_writer::{LATER_TERM, RecordWriter, STEP_DOWN_AFTER_MS};
 use crate::request_watch::{follow_requests, poll_missed_jobs};
-use crate::takeover::load_state;
+use crate::takeover::{UNREAD_STATE, load_state};
 
 /// How long a planner that cannot renew its lead keeps renewing workers' leases, so that an outage of the store ends no
 /// run. With the lease itself and the validity of the lead, an outage of 13 s is bridged; the longest that the users'
@@ -34,6 +34,9 @@
 /// The longest time between two planning passes: leases expire and scheduled runs come due without an event.
 const PLAN_EVERY_MS: u64 = 50;
 
+/// A planning pass that takes longer than this is logged: the node's callers and its renewals wait for as long.
+const LONG_PASS_MS: u64 = 250;
+
 /// Delay before retrying after a failed call.
 const RETRY_PAUSE_MS: u64 = 60;
 
@@ -190,6 +193,9 @@
                     "state not read yet",
                     &[("why", Value::from(e.to_string()))],
                 );
+                if term.is_lead_valid() && now_ms() > began_ms + STEP_DOWN_AFTER_MS {
+                    return UNREAD_STATE.to_string();
+                }
                 tokio::time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
             }
         }
@@ -238,6 +244,7 @@
             planner.plan(now_ms(), unix_ms());
             planner.begin_flush(unix_ms())
         };
+        report_pass(term, now_ms().saturating_sub(planned_ms));
         report_decisions(term);
         if term.lock_planner().is_superseded() {
             return LATER_TERM.to_string();
@@ -255,6 +262,17 @@
     }
 }
 
+/// Records how long a planning pass took, and logs a long one.
+fn report_pass(term: &Term, took_ms: u64) {
+    term.node.metrics.record(Timing::PlanningPass, took_ms);
+    if took_ms > LONG_PASS_MS {
+        let fields = [("took_ms", Value::from(took_ms))];
+        term.node
+            .log
+            .general("planner", "a pass took long", &fields);
+    }
+}
+
 /// Logs decisions and updates the counters.
 fn report_decisions(term: &Term) {
     let node = &term.node;
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod slow_link;
+
 use std::net::{SocketAddr, TcpListener};
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -166,13 +168,17 @@
 
     /// Returns how many calls a node has passed on to its peers.
     pub async fn count_passed_on(&self, at: usize) -> u64 {
+        self.read_metric(at, "passed_on_total").await
+    }
+
+    /// Returns the value of a node's metric, whose name lacks the common prefix.
+    pub async fn read_metric(&self, at: usize, name: &str) -> u64 {
         let url = format!("http://{}/metrics", self.nodes[at].metrics);
         let response = self.client.get(url).send().await.unwrap();
         let text = response.text().await.unwrap();
-        let count = text
-            .lines()
-            .find_map(|line| line.strip_prefix("hemlockloft_passed_on_total "));
-        count.unwrap().parse().unwrap()
+        let prefix = format!("hemlockloft_{name} ");
+        let value = text.lines().find_map(|line| line.strip_prefix(&prefix));
+        value.unwrap().parse().unwrap()
     }
 
     /// Waits until a condition holds; `what` names it in the panic if it never does.
@@ -209,9 +215,14 @@
 
     /// Submits a job of `count` tasks; returns the status, or 0 without an answer.
     pub async fn submit(&self, at: usize, id: u64, count: u32) -> u16 {
+        self.submit_with(at, id, count, "text").await
+    }
+
+    /// Submits a job of `count` tasks with this `spec`; returns the status, or 0 without an answer.
+    pub async fn submit_with(&self, at: usize, id: u64, count: u32, spec: &str) -> u16 {
         let step =
             json!({"count": count, "cpu": 1000, "mem_mb": 100, "gpu": 1, "estimate_ms": 100});
-        let body = json!({"spec": "text", "steps": [step]}).to_string();
+        let body = json!({"spec": spec, "steps": [step]}).to_string();
         let response = self
             .call(at, "POST", &format!("/q/{id:016x}"), KEY, body)
             .await;
