--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -76,8 +76,8 @@
     Crashed,
     /// It fell silent until its lease expired; it may have crashed or be cut off.
     Silent,
-    /// Another incarnation has replaced it after it had announced that it leaves.
-    Replaced,
+    /// It had announced that it leaves, but fell silent before.
+    Early,
 }
 
 impl Planner {
@@ -140,7 +140,7 @@
 
     /// Counts the loss of the worker that ran a task in an earlier term, if another incarnation has replaced it.
     pub(crate) fn count_crash_before_term(&mut self, key: TaskKey, worker: Option<&StoredWorker>) {
-        if worker.is_some()
+        if worker.is_some_and(|worker| !worker.leaving)
             && let Some(task) = self.task_mut(key)
         {
             task.crashes.all += 1;
--- a/crates/scheduler/src/events.rs
+++ b/crates/scheduler/src/events.rs
@@ -97,6 +97,13 @@
 
     fn refresh_worker(&mut self, key: WorkerKey, entry: crate::WorkerEntry, now_ms: u64) {
         let worker = &mut self.workers[key];
+        // The entry may be older than this read.
+        let leaves_at_ms = entry.remaining_ms.map(|remaining_ms| now_ms + remaining_ms);
+        worker.leaves_at_ms = match (entry.leaving, worker.leaves_at_ms, leaves_at_ms) {
+            (false, ..) => None,
+            (true, Some(before), Some(now)) => Some(before.min(now)),
+            (true, before, now) => before.or(now),
+        };
         let before = worker.entry.capacity;
         let after = entry.capacity;
         if worker.entry.rack != entry.rack {
@@ -172,10 +179,10 @@
             return;
         };
         let loss = match worker.entry.leaving || worker.draining {
-            true => WorkerLoss::Replaced,
-            false => WorkerLoss::Crashed,
+            false => Some(WorkerLoss::Crashed),
+            true => worker.fell_silent_early().then_some(WorkerLoss::Early),
         };
-        self.remove_worker(key, why, Some(loss), now_ms);
+        self.remove_worker(key, why, loss, now_ms);
     }
 
     /// Removes a worker on which nothing runs any more; no `loss` if it has left as announced.
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -154,6 +154,9 @@
 /// Lower bound of the speed of a worker's lease clock, in hundredths of true time (2% slow).
 const MIN_CLOCK_RATE_PERCENT: u64 = 98;
 
+/// The longest time between two answers of a worker that is up.
+const LONGEST_SILENCE_MS: u64 = 2_000;
+
 /// Margin added to the time at which a lease must have expired, for rounding and the delay of an answer.
 const LEASE_EXPIRY_MARGIN_MS: u64 = 150;
 
@@ -178,6 +181,8 @@
     pub inherited_expiry_ms: u64,
     /// When the last answer arrived, on the planner's clock.
     pub answered_ms: u64,
+    /// The earliest time at which it leaves, if it has announced one.
+    pub leaves_at_ms: Option<u64>,
     /// Whether it gets no new work because its machine goes down for maintenance.
     pub draining: bool,
     /// Whether the last renewal got no usable answer.
@@ -216,6 +221,7 @@
             lease_end_clock_ms: 0,
             inherited_expiry_ms,
             answered_ms: 0,
+            leaves_at_ms: None,
             draining: false,
             unresponsive: false,
             refused: false,
@@ -247,6 +253,12 @@
         }
     }
 
+    /// Returns whether it stopped answering, which it does at least every 2 s, before the announced time of its leave.
+    pub fn fell_silent_early(&self) -> bool {
+        self.leaves_at_ms
+            .is_some_and(|leaves_at_ms| self.answered_ms + LONGEST_SILENCE_MS < leaves_at_ms)
+    }
+
     /// Returns whether nothing runs there and no capacity is reserved.
     pub fn is_empty(&self) -> bool {
         self.tasks.is_empty()
