--- a/crates/scheduler/tests/crashes.rs
+++ b/crates/scheduler/tests/crashes.rs
@@ -370,6 +370,9 @@
         let now_ms = self.harness.now_ms;
         self.harness.planner = Planner::new(limits(), now_ms);
         self.harness.workers.clear();
+        for worker in &mut self.workers {
+            worker.key = WorkerKey::default();
+        }
         self.list();
         for (order, stored) in (0..).zip(&self.stored) {
             let record = self.records.get(&stored.id).cloned();
