--- a/crates/control/tests/slow_link.rs
+++ b/crates/control/tests/slow_link.rs
@@ -12,6 +12,7 @@
 
 use rstest::rstest;
 use support::Site;
+use support::slow_link::start_slow_link;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -19,23 +20,25 @@
 /// Organisations declared besides the caller's; their configuration is some 280 KB on the wire.
 const MANY_ORGANISATIONS: usize = 4_000;
 
-/// What a relay passes on at once, and how often: 80 KB a second.
+/// What the slow link carries.
+const SLOW_BYTES_PER_S: usize = 80_000;
+
+/// What a relay that stalls passes on at once.
 const PART_BYTES: usize = 4_000;
-const PART_EVERY: Duration = Duration::from_millis(50);
 
 const STALLS_AFTER_BYTES: usize = 40_000;
 
-/// How a relay delivers answers.
+/// How answers are delivered.
 #[derive(Clone, Copy, PartialEq)]
 enum Delivery {
-    /// In parts, with a pause after each.
+    /// Over a slow link.
     Slow,
     /// The first connection that has passed on [`STALLS_AFTER_BYTES`] passes on nothing more.
     FirstStalls,
 }
 
-/// Returns the address of a relay to `target`.
-async fn relay(target: SocketAddr, delivery: Delivery) -> SocketAddr {
+/// Returns the address of a relay to `target` whose first connection stalls.
+async fn start_stalling_relay(target: SocketAddr) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let stalled = Arc::new(AtomicBool::new(false));
@@ -45,19 +48,14 @@
             let (mut near_read, near_write) = near.into_split();
             let (far_read, mut far_write) = far.into_split();
             tokio::spawn(async move { tokio::io::copy(&mut near_read, &mut far_write).await });
-            tokio::spawn(deliver(far_read, near_write, delivery, stalled.clone()));
+            tokio::spawn(deliver(far_read, near_write, stalled.clone()));
         }
     });
     address
 }
 
 /// Passes on what the target sends on one connection.
-async fn deliver(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
-    delivery: Delivery,
-    stalled: Arc<AtomicBool>,
-) {
+async fn deliver(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, stalled: Arc<AtomicBool>) {
     let mut part = [0; PART_BYTES];
     let mut passed_bytes = 0;
     while let Ok(length) = from.read(&mut part).await {
@@ -65,11 +63,8 @@
             return;
         }
         passed_bytes += length;
-        match delivery {
-            Delivery::Slow => tokio::time::sleep(PART_EVERY).await,
-            Delivery::FirstStalls if passed_bytes < STALLS_AFTER_BYTES => {}
-            Delivery::FirstStalls if stalled.swap(true, Ordering::Relaxed) => {}
-            Delivery::FirstStalls => std::future::pending().await,
+        if passed_bytes >= STALLS_AFTER_BYTES && !stalled.swap(true, Ordering::Relaxed) {
+            std::future::pending::<()>().await;
         }
     }
 }
@@ -99,7 +94,10 @@
     #[case] within_s: u64,
 ) {
     let mut site = Site::start(1, Duration::from_millis(30)).await;
-    let store = relay(site.store.address(), delivery).await;
+    let store = match delivery {
+        Delivery::Slow => start_slow_link(site.store.address(), SLOW_BYTES_PER_S).await,
+        Delivery::FirstStalls => start_stalling_relay(site.store.address()).await,
+    };
     let at = match node_runs {
         true => Some(site.add_node_at(store).await),
         false => None,
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+pub mod crash_site;
 pub mod crest;
 
 use scheduler::prelude::*;
