--- a/crates/control/tests/slow_link.rs
+++ b/crates/control/tests/slow_link.rs
@@ -29,7 +29,7 @@
 const STALLS_AFTER_BYTES: usize = 40_000;
 
 /// How answers are delivered.
-#[derive(Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 enum Delivery {
     /// Over a slow link.
     Slow,
--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -147,15 +147,15 @@
         }
     }
 
-    /// Fails a job with a task that has crashed too many workers. Returns whether it did.
-    pub(crate) fn give_up_if_crashing(&mut self, group: GroupKey, now_ms: u64) -> bool {
+    /// Fails a job with a task in this group that has crashed too many workers.
+    pub(crate) fn give_up_if_crashing(&mut self, group: GroupKey, now_ms: u64) {
         let Some(job) = self.jobs.get(group.job) else {
-            return false;
+            return;
         };
         let tasks = &job.groups[group.group as usize].tasks;
         let cause = (0..).zip(tasks).find(|(_, t)| t.crashes.is_used_up());
         let Some((index, task)) = cause.filter(|_| !job.state.is_final()) else {
-            return false;
+            return;
         };
         let why = format!(
             "{} workers were lost under task {}, {} of them right after its start",
@@ -167,7 +167,6 @@
         self.counts.given_up += 1;
         self.record_decision(Some(id), "given up", why);
         self.end_job(group.job, JobState::Failed, now_ms);
-        true
     }
 
     /// Clears a lasting task that has run for long.
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -278,6 +278,7 @@
         self.settle_job(key.group.job);
     }
 
+    /// Logs a run that is lost, with its worker and age.
     fn record_lost_run(&mut self, key: TaskKey, now_ms: u64) {
         let (Some(job), Some(task)) = (self.jobs.get(key.group.job), self.task(key)) else {
             return;
