--- /dev/null
+++ b/review/standins/site.rs
@@ -0,0 +1,604 @@
+//! A small site of separate processes on loopback: a store, workers and three nodes of the system. Records what was sent,
+//! answered and run, and judges it by what clients and workers have seen.
+
+use std::collections::{BTreeMap, HashMap};
+use std::fs::{self, File};
+use std::io::Write;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, AtomicUsize, Ordering};
+use std::sync::{Mutex, MutexGuard};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::http;
+use crate::json::{Json, List, int, map, text};
+use crate::proxy::Link;
+use crate::worker::unix_ms;
+
+/// The tenant's key.
+pub const KEY: &str = "desk-key";
+
+/// Why a case could not run.
+pub type Failure = String;
+
+/// How a worker of the site is reached.
+struct Place {
+    listen: SocketAddr,
+    link: Option<(Link, Link)>,
+    advertised: SocketAddr,
+    store: SocketAddr,
+    rack: String,
+    child: Mutex<Option<Child>>,
+}
+
+/// A running site.
+pub struct Site {
+    folder: PathBuf,
+    record: Mutex<Vec<(u64, String)>>,
+    store: SocketAddr,
+    children: Mutex<Vec<Child>>,
+    pub nodes: Vec<SocketAddr>,
+    workers: BTreeMap<String, Place>,
+    turn: AtomicUsize,
+}
+
+/// Returns a free loopback address. Each play has an IP address of its own, where no outgoing channel takes a port.
+pub fn free_address() -> SocketAddr {
+    static NEXT_PORT: AtomicU16 = AtomicU16::new(21_000);
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    let ip = Ipv4Addr::new(127, 16 + high % 64, middle, low);
+    loop {
+        let port = NEXT_PORT.fetch_add(1, Ordering::SeqCst);
+        let address = SocketAddr::from((ip, port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
+/// Waits until `ready` holds.
+fn wait_for(what: &str, limit_ms: u64, mut ready: impl FnMut() -> bool) -> Result<(), Failure> {
+    let end = Instant::now() + Duration::from_millis(limit_ms);
+    while !ready() {
+        if Instant::now() > end {
+            return Err(format!("{what} within {limit_ms} ms"));
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    Ok(())
+}
+
+impl Site {
+    /// Starts a store, `workers` workers on racks of eight, and three nodes. With `links`, workers are reached, and reach
+    /// the store, through links that can be cut.
+    pub fn start(workers: usize, links: bool) -> Result<Site, Failure> {
+        let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
+        fs::create_dir_all(&folder).map_err(|e| e.to_string())?;
+        let store = free_address();
+        let mut site = Site {
+            folder,
+            record: Mutex::default(),
+            store,
+            children: Mutex::default(),
+            nodes: Vec::new(),
+            workers: BTreeMap::new(),
+            turn: AtomicUsize::new(0),
+        };
+        site.spawn_own(&["store", &store.to_string()])?;
+        wait_for("the store answers", 5_000, || {
+            site.store_call("/kv-range?prefix=op/").is_some()
+        })?;
+        site.put("op/config", &configuration(), 0);
+        for number in 0..workers {
+            let listen = free_address();
+            let link = links.then(|| (Link::open(listen), Link::open(store)));
+            let place = Place {
+                advertised: link
+                    .as_ref()
+                    .map_or(listen, |(to_worker, _)| to_worker.address),
+                store: link
+                    .as_ref()
+                    .map_or(store, |(_, to_store)| to_store.address),
+                listen,
+                link,
+                rack: format!("r1-{}", number / 8),
+                child: Mutex::default(),
+            };
+            let id = format!("i-{number:02}");
+            site.workers.insert(id.clone(), place);
+            site.start_worker(&id)?;
+        }
+        let cloud_address = free_address();
+        let cloud = TcpListener::bind(cloud_address).map_err(|e| e.to_string())?;
+        thread::spawn(move || {
+            http::serve(cloud, |_| {
+                (
+                    200,
+                    map([("machines", List(vec![])), ("next_token", Json::Null)]),
+                )
+            })
+        });
+        for number in 1..=3 {
+            let callers = site.start_node(number, cloud_address)?;
+            site.nodes.push(callers);
+        }
+        let probe = |node: SocketAddr| {
+            http::call(node, "GET", "/q/", &client_headers(), None, 500).is_ok_and(|a| a.0 == 200)
+        };
+        wait_for("all nodes serve", 15_000, || {
+            site.nodes.iter().all(|node| probe(*node))
+        })?;
+        // The first leader asks all workers; traffic starts later at the users' too.
+        thread::sleep(Duration::from_millis(2_500));
+        site.note("site ready");
+        Ok(site)
+    }
+
+    /// Starts this program again as a stand-in.
+    fn spawn_own(&self, words: &[&str]) -> Result<(), Failure> {
+        let child = own_command(words).spawn().map_err(|e| e.to_string())?;
+        self.note(&format!("started {} as process {}", words[0], child.id()));
+        self.children.lock().unwrap().push(child);
+        Ok(())
+    }
+
+    /// Starts a life of a worker under its id and at its address.
+    pub fn start_worker(&self, id: &str) -> Result<(), Failure> {
+        let place = &self.workers[id];
+        let words = [
+            "worker",
+            id,
+            &place.listen.to_string(),
+            &place.advertised.to_string(),
+            &place.store.to_string(),
+            &place.rack,
+            &self.events_path().display().to_string(),
+        ];
+        let child = own_command(&words).spawn().map_err(|e| e.to_string())?;
+        self.note(&format!("worker {id} started as process {}", child.id()));
+        *place.child.lock().unwrap() = Some(child);
+        wait_for("the worker listens", 3_000, || {
+            http::call(place.listen, "GET", "/healthz", &[], None, 200).is_ok()
+        })
+    }
+
+    /// Kills a worker with SIGKILL; with links its machine loses power: its channels fall silent and none open.
+    pub fn kill_worker(&self, id: &str) {
+        let place = &self.workers[id];
+        if let Some((to_worker, to_store)) = &place.link {
+            to_worker.lose_power();
+            to_store.cut();
+        }
+        if let Some(mut child) = place.child.lock().unwrap().take() {
+            let _ = (child.kill(), child.wait());
+        }
+        self.append_event(id, "killed");
+    }
+
+    /// Lets the channels of a worker's machine open again.
+    pub fn heal_worker(&self, id: &str) {
+        if let Some((to_worker, to_store)) = &self.workers[id].link {
+            to_worker.heal();
+            to_store.heal();
+        }
+        self.note(&format!("worker {id}: its links are whole"));
+    }
+
+    /// Cuts a worker off, from the nodes and from the store, silently. It runs on.
+    pub fn cut_worker(&self, id: &str) {
+        if let Some((to_worker, to_store)) = &self.workers[id].link {
+            to_worker.cut();
+            to_store.cut();
+        }
+        self.note(&format!(
+            "worker {id}: cut off from all nodes and from the store"
+        ));
+    }
+
+    /// Lets a worker report that it drains, and leave after `leave_ms`.
+    pub fn drain_worker(&self, id: &str, leave_ms: u64) {
+        let body = map([("leave_ms", int(leave_ms))]);
+        let _ = http::call(
+            self.workers[id].listen,
+            "POST",
+            "/standin/drain",
+            &[],
+            Some(&body),
+            500,
+        );
+    }
+
+    /// Makes a worker unhealthy: it refuses starts with 503, and goes on with what it runs and with its heartbeats.
+    pub fn make_unhealthy(&self, id: &str, for_ms: u64) {
+        let body = map([("for_ms", int(for_ms))]);
+        let address = self.workers[id].listen;
+        let _ = http::call(address, "POST", "/standin/unhealthy", &[], Some(&body), 500);
+    }
+
+    /// Returns the ids of all workers.
+    pub fn worker_ids(&self) -> Vec<String> {
+        self.workers.keys().cloned().collect()
+    }
+
+    /// Starts a node as the deploy file says, with the settings of its template.
+    fn start_node(&self, number: usize, cloud: SocketAddr) -> Result<SocketAddr, Failure> {
+        let (callers, readiness) = (free_address(), free_address());
+        let name = format!("edge-gyor-{number}");
+        let settings = map([
+            (
+                "node",
+                map([
+                    ("name", text(&name)),
+                    ("data_centre", text("gyor")),
+                    ("region", text("dunantul")),
+                    ("processor_cores", Json::Float(0.25)),
+                ]),
+            ),
+            (
+                "listen",
+                map([
+                    ("callers", text(callers.to_string())),
+                    ("readiness", text(readiness.to_string())),
+                    ("metrics", text(free_address().to_string())),
+                    ("peers", text(free_address().to_string())),
+                    ("own", text(free_address().to_string())),
+                ]),
+            ),
+            (
+                "store",
+                map([
+                    ("address", text(self.store.to_string())),
+                    ("shortest_lease_ms", int(1_000)),
+                ]),
+            ),
+            ("orders", text("rpc")),
+            ("advice", text(cloud.to_string())),
+            ("machines", text(cloud.to_string())),
+            (
+                "bounds",
+                map([
+                    ("contact_ms", int(4_000)),
+                    ("stop_grace_ms", int(400)),
+                    ("longest_lease_ms", int(10_000)),
+                    ("revoke_ms", int(5_000)),
+                    ("reclaim_ms", int(2_900)),
+                    ("stop_s", int(6)),
+                    ("remote_slowdown", int(3)),
+                    ("keep_ended_s", int(120)),
+                ]),
+            ),
+        ]);
+        let path = self.folder.join(format!("{name}.jsonc"));
+        fs::write(&path, settings.to_string()).map_err(|e| e.to_string())?;
+        let log =
+            File::create(self.folder.join(format!("{name}.log"))).map_err(|e| e.to_string())?;
+        let log_too = log.try_clone().map_err(|e| e.to_string())?;
+        let child = Command::new("target/release/hemlockd")
+            .arg("serve")
+            .env("HEMLOCKLOFT_BOOT", &path)
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(log_too)
+            .spawn()
+            .map_err(|e| format!("target/release/hemlockd: {e}"))?;
+        self.note(&format!(
+            "started {name} as process {}, callers at {callers}",
+            child.id()
+        ));
+        self.children.lock().unwrap().push(child);
+        Ok(callers)
+    }
+
+    fn events_path(&self) -> PathBuf {
+        self.folder.join("events")
+    }
+
+    fn append_event(&self, id: &str, what: &str) {
+        let file = fs::OpenOptions::new()
+            .append(true)
+            .create(true)
+            .open(self.events_path());
+        let line = format!("{} {id} 0 {what}\n", unix_ms());
+        let _ = file.and_then(|mut file| file.write_all(line.as_bytes()));
+    }
+
+    fn record(&self) -> MutexGuard<'_, Vec<(u64, String)>> {
+        self.record.lock().unwrap()
+    }
+
+    /// Adds a line to the record.
+    pub fn note(&self, line: &str) {
+        self.record().push((unix_ms(), line.to_string()));
+    }
+
+    fn store_call(&self, target: &str) -> Option<Json> {
+        let answer = http::call(self.store, "GET", target, &[], None, 1_000).ok()?;
+        (answer.0 == 200).then_some(answer.1)
+    }
+
+    /// Writes an item into the store, as the operator or another writer does.
+    pub fn put(&self, key: &str, value: &Json, ttl_ms: u64) {
+        let fields = [
+            ("key", text(key)),
+            ("value", text(value.to_string())),
+            ("ttl_ms", int(ttl_ms)),
+        ];
+        let _ = http::call(
+            self.store,
+            "POST",
+            "/standin/put",
+            &[],
+            Some(&map(fields)),
+            1_000,
+        );
+        self.note(&format!("store: {key} is written: {value}"));
+    }
+
+    /// Waits until a worker writes its entry again.
+    pub fn wait_for_heartbeat(&self, id: &str) -> Result<(), Failure> {
+        let target = format!("/kv-key?key=servers/{id}");
+        let revision = || {
+            self.store_call(&target)
+                .map_or(0, |item| item.get("revision").u64())
+        };
+        let before = revision();
+        wait_for("a heartbeat", 5_000, || before > 0 && revision() > before)
+    }
+
+    /// Returns the address in a worker's entry.
+    pub fn address_of(&self, id: &str) -> SocketAddr {
+        self.workers[id].advertised
+    }
+
+    /// Makes a client's call at the next node; the status, 0 without an answer, and the body.
+    pub fn client_call(&self, method: &str, id: &str, body: Option<&Json>) -> http::Answer {
+        let node = self.nodes[self.turn.fetch_add(1, Ordering::SeqCst) % self.nodes.len()];
+        let sent = body.map_or(String::new(), |body| format!(" {body}"));
+        let target = format!("/q/{id}");
+        let answer = http::call(node, method, &target, &client_headers(), body, 3_000)
+            .unwrap_or((0, Json::Null));
+        self.note(&format!(
+            "client: {method} {target}{sent} -> {} {}",
+            answer.0, answer.1
+        ));
+        answer
+    }
+
+    /// Hands a job in, once: one step of `count` work units, which each work for `run_ms` on one accelerator. Returns the
+    /// status of the answer.
+    pub fn hand_in(&self, id: &str, count: u64, run_ms: u64) -> u16 {
+        self.hand_in_sized(id, count, run_ms, 1)
+    }
+
+    /// Hands a job in like [`Site::hand_in`], with work units of several accelerators each.
+    pub fn hand_in_sized(&self, id: &str, count: u64, run_ms: u64, accelerators: u64) -> u16 {
+        let step = map([
+            ("count", int(count)),
+            ("cpu", int(5_600)),
+            ("mem_mb", int(11_000)),
+            ("gpu", int(accelerators)),
+            ("estimate_ms", int(run_ms)),
+        ]);
+        let spec = text(format!("run_ms={run_ms}"));
+        let body = map([("spec", spec), ("steps", List(vec![step]))]);
+        self.client_call("POST", id, Some(&body)).0
+    }
+
+    /// Hands a job in like [`Site::hand_in`], until it is accepted.
+    pub fn submit(&self, id: &str, count: u64, run_ms: u64) -> Result<(), Failure> {
+        for _ in 0..4 {
+            if self.hand_in(id, count, run_ms) == 200 {
+                return Ok(());
+            }
+            thread::sleep(Duration::from_millis(300));
+        }
+        Err(format!("job {id} was not accepted"))
+    }
+
+    /// Returns how many jobs wait in the queue, as each node says it; nodes that don't answer with 200 are left out.
+    pub fn waiting(&self) -> Vec<u64> {
+        (0..self.nodes.len())
+            .map(|_| self.client_call("GET", "", None))
+            .filter(|(status, _)| *status == 200)
+            .map(|(_, body)| body.get("waiting").u64())
+            .collect()
+    }
+
+    /// Returns the state of a job, as a client sees it.
+    pub fn state(&self, id: &str) -> String {
+        self.client_call("GET", id, None)
+            .1
+            .get("state")
+            .str()
+            .to_string()
+    }
+
+    /// Returns what the workers have run so far.
+    pub fn runs(&self) -> Vec<Run> {
+        let events = fs::read_to_string(self.events_path()).unwrap_or_default();
+        let mut runs: Vec<Run> = Vec::new();
+        for line in events.lines() {
+            let words: Vec<&str> = line.split(' ').collect();
+            let at_ms = words[0].parse().unwrap_or(0);
+            match words[3..] {
+                ["start", task, "run", run, ..] => runs.push(Run {
+                    task: task.to_string(),
+                    run: run.parse().unwrap_or(0),
+                    worker: words[1].to_string(),
+                    life: words[2].to_string(),
+                    began_ms: at_ms,
+                    ended_ms: None,
+                    how: String::new(),
+                }),
+                ["end", task, "run", run, how] => {
+                    let run: u64 = run.parse().unwrap_or(0);
+                    let open = runs.iter_mut().find(|r| {
+                        r.task == task && r.run == run && r.life == words[2] && r.ended_ms.is_none()
+                    });
+                    if let Some(open) = open {
+                        (open.ended_ms, open.how) = (Some(at_ms), how.to_string());
+                    }
+                }
+                ["killed"] => {
+                    let open = runs
+                        .iter_mut()
+                        .filter(|r| r.worker == words[1] && r.ended_ms.is_none());
+                    for run in open {
+                        (run.ended_ms, run.how) = (Some(at_ms), "killed".to_string());
+                    }
+                }
+                _ => {}
+            }
+        }
+        runs
+    }
+
+    /// Waits until a work unit runs somewhere; returns that run.
+    pub fn wait_for_run(&self, task: &str, limit_ms: u64) -> Result<Run, Failure> {
+        let mut found = None;
+        wait_for(&format!("{task} runs"), limit_ms, || {
+            found = self
+                .runs()
+                .into_iter()
+                .rfind(|r| r.task == task && r.ended_ms.is_none());
+            found.is_some()
+        })?;
+        found.ok_or_else(|| format!("{task} does not run"))
+    }
+
+    /// Returns runs of one work unit that were at work at the same time, for 20 ms at least.
+    pub fn doubled(&self) -> Vec<String> {
+        let now = unix_ms();
+        let mut by_task: HashMap<String, Vec<Run>> = HashMap::new();
+        for run in self.runs() {
+            by_task.entry(run.task.clone()).or_default().push(run);
+        }
+        let mut found = Vec::new();
+        for (task, runs) in by_task {
+            for (at, a) in runs.iter().enumerate() {
+                for b in &runs[at + 1..] {
+                    let begin = a.began_ms.max(b.began_ms);
+                    let end = a.ended_ms.unwrap_or(now).min(b.ended_ms.unwrap_or(now));
+                    if end >= begin + 20 {
+                        found.push(format!(
+                            "{task}: run {} on {} and run {} on {} at the same time for {} ms, from {begin} on",
+                            a.run, a.worker, b.run, b.worker, end - begin
+                        ));
+                    }
+                }
+            }
+        }
+        found.sort();
+        found
+    }
+
+    /// Ends all processes, and writes the record into `folder`.
+    pub fn finish(&self, folder: &Path, verdict: &str) {
+        let events = fs::read_to_string(self.events_path()).unwrap_or_default();
+        self.end_processes();
+        let mut lines = self.record().clone();
+        for line in events.lines() {
+            let (at, rest) = line.split_once(' ').unwrap_or((line, ""));
+            lines.push((at.parse().unwrap_or(0), format!("worker {rest}")));
+        }
+        for number in 1..=self.nodes.len() {
+            let path = self.folder.join(format!("edge-gyor-{number}.log"));
+            for line in fs::read_to_string(path).unwrap_or_default().lines() {
+                let parsed = Json::parse(line.as_bytes());
+                let at = parsed.get("at_unix_ms").u64();
+                if at > 0 {
+                    lines.push((at, format!("log {line}")));
+                }
+            }
+        }
+        lines.sort_by_key(|(at, _)| *at);
+        let first = lines.first().map_or(0, |(at, _)| *at);
+        let mut out = String::from("milliseconds from the start, who, what\n");
+        for (at, line) in lines {
+            out += &format!("{:>7} {line}\n", at.saturating_sub(first));
+        }
+        out += &format!("\nresult: {verdict}\n");
+        let _ = fs::write(folder.join("record.txt"), out);
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+
+    fn end_processes(&self) {
+        let workers = self
+            .workers
+            .values()
+            .filter_map(|place| place.child.lock().unwrap().take());
+        let others: Vec<Child> = self.children.lock().unwrap().drain(..).rev().collect();
+        for mut child in workers.chain(others) {
+            let _ = (child.kill(), child.wait());
+        }
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        self.end_processes();
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// A run as its worker saw it.
+#[derive(Debug, Clone)]
+pub struct Run {
+    pub task: String,
+    pub run: u64,
+    pub worker: String,
+    pub life: String,
+    pub began_ms: u64,
+    pub ended_ms: Option<u64>,
+    pub how: String,
+}
+
+/// Returns a command that starts this program; it ends with this process, whose end closes its standard input.
+fn own_command(words: &[&str]) -> Command {
+    let mut command = Command::new(std::env::current_exe().unwrap());
+    command.args(words).stdin(Stdio::piped());
+    command
+}
+
+fn client_headers() -> [(&'static str, &'static str); 3] {
+    [
+        ("host", "desk.example"),
+        ("hemlockloft-credential", KEY),
+        ("hemlockloft-deadline-ms", "3000"),
+    ]
+}
+
+/// The desired state: one queue, one service that doesn't guard its capacity, one tenant.
+fn configuration() -> Json {
+    let route = map([
+        ("name", text("queue")),
+        ("host", text("desk.example")),
+        ("prefix", text("/q/")),
+        ("type", text("non_idempotent")),
+        ("timeout_ms", int(3_000)),
+        ("target_latency_ms", int(1_200)),
+        ("priority", int(1)),
+        ("service", text("engine")),
+        ("attempts", int(4)),
+        ("stretch", Json::Float(3.5)),
+        ("public", Json::Bool(false)),
+    ]);
+    let service = map([
+        ("name", text("engine")),
+        ("enforces_capacity", Json::Bool(false)),
+    ]);
+    let tenant = map([
+        ("name", text("desk")),
+        ("api_keys", List(vec![text(KEY)])),
+        ("guaranteed", map([("gpu", int(8))])),
+    ]);
+    map([
+        ("version", int(1)),
+        ("routes", List(vec![route])),
+        ("services", List(vec![service])),
+        ("limits", map([("max_body_bytes", int(65_536))])),
+        ("tenants", List(vec![tenant])),
+    ])
+}
