--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -25,7 +25,7 @@
             end_with_parent();
             store::run(TcpListener::bind(address).expect("the store's address"));
         }
-        ["worker", id, listen, advertised, store, rack, events] => {
+        ["worker", id, kind, listen, advertised, store, rack, events] => {
             end_with_parent();
             let address = |text: &str| text.parse::<SocketAddr>().expect("an address");
             worker::run(worker::Options {
@@ -34,6 +34,7 @@
                 advertised: address(advertised),
                 store: address(store),
                 rack: rack.to_string(),
+                kind: kind.to_string(),
                 events: events.to_string(),
             });
         }
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -263,7 +263,7 @@
 }
 
 /// Encodes bytes as standard base64 with padding.
-fn encode_base64(bytes: &[u8]) -> String {
+pub fn encode_base64(bytes: &[u8]) -> String {
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut out = String::new();
     for chunk in bytes.chunks(3) {
