--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -12,12 +12,12 @@
 /// A case that takes longer is given up.
 const LONGEST_PLAY_MS: u64 = 112_000;
 
+/// The bound `finish_s`.
+const FINISH_MS: u64 = 14_000;
+
 /// From 6 s after its last run a work unit that lasts may have nothing running for less than 3 s.
 const LASTING_IDLE_MS: u64 = 9_000;
 
-/// The bound `visible_ms`.
-const VISIBLE_MS: u64 = 3_000;
-
 /// Plays a case with its disruption, or without it if `TROUBLE` is 0. Returns the exit code.
 pub fn play(name: &str, folder: &Path) -> i32 {
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
@@ -25,15 +25,15 @@
         "silent-restart" => silent_restart,
         "leaving-and-cut-off" => leaving_and_cut_off,
         "entry-without-born" => entry_without_born,
-        "waiting-count" => waiting_count,
         "wave-again" => wave_again,
+        "held-back" => held_back,
         _ => return 2,
     };
     let (workers, special, links) = match name {
         "entry-without-born" => (8, 0, false),
         "leaving-and-cut-off" => (16, 0, true),
-        "waiting-count" => (12, 0, false),
         "wave-again" => (12, 3, false),
+        "held-back" => (16, 0, false),
         _ => (8, 0, true),
     };
     thread::spawn(|| {
@@ -41,7 +41,7 @@
         eprintln!("the case took too long");
         exit(2);
     });
-    let site = match Site::start(workers, special, links) {
+    let site = match Site::start(workers, special, links, name == "held-back") {
         Ok(site) => site,
         Err(why) => {
             eprintln!("the site could not start: {why}");
@@ -131,54 +131,6 @@
     Ok(site.doubled())
 }
 
-/// At a crest, the only worker that has room is unhealthy and refuses starts; clients ask how many jobs wait.
-fn waiting_count(site: &Site, trouble: bool) -> Result<Vec<String>, Failure> {
-    // Eleven workers are full for long, the twelfth for 3 s.
-    site.submit("00000000000000a1", 88, 40_000)?;
-    site.wait_for_run("00000000000000a1.0.0.87", 5_000)?;
-    let busy: Vec<String> = site.runs().into_iter().map(|run| run.worker).collect();
-    let ids = site.worker_ids();
-    let free: Vec<&String> = ids.iter().filter(|id| !busy.contains(id)).collect();
-    let [worker] = free[..] else {
-        return Err(format!("{} workers are free instead of one", free.len()));
-    };
-    site.hand_in_sized("00000000000000a2", 1, 3_000, 8);
-    site.wait_for_run("00000000000000a2.0.0.0", 3_000)?;
-    let jobs: Vec<String> = (0..4).map(|n| format!("{:016x}", 0xb0 + n)).collect();
-    for job in &jobs {
-        if site.hand_in_sized(job, 1, 2_000, 2) != 200 {
-            return Err(format!("job {job} was not accepted"));
-        }
-    }
-    let accepted_ms = unix_ms();
-    sleep(1_500);
-    if trouble {
-        site.make_unhealthy(worker, 6_500);
-    }
-    sleep(3_700);
-    let mut broken = Vec::new();
-    while unix_ms() < accepted_ms + 9_500 {
-        let asked_ms = unix_ms();
-        let answers = site.waiting();
-        let runs = site.runs();
-        // Those that had not begun when the answers had arrived had not begun before either.
-        let not_begun = jobs
-            .iter()
-            .filter(|job| !runs.iter().any(|run| run.task.starts_with(job.as_str())))
-            .count();
-        let oldest_ms = asked_ms - accepted_ms;
-        for waiting in answers {
-            if oldest_ms > VISIBLE_MS + 2_000 && waiting * 2 < not_begun as u64 {
-                broken.push(format!(
-                    "a node says that {waiting} jobs wait; {not_begun} that were accepted {oldest_ms} ms ago haven't begun"
-                ));
-            }
-        }
-        sleep(700);
-    }
-    Ok(broken)
-}
-
 /// The leader is killed, some time after a wave of upkeep has been completed.
 fn wave_again(site: &Site, trouble: bool) -> Result<Vec<String>, Failure> {
     let wave = r#"{"wave":1,"machines":["m-09","m-10","m-11"],"within_s":20,"cap":3}"#;
@@ -234,3 +186,43 @@
     }
     Ok(broken)
 }
+
+/// A large urgent job comes that finds no room, while each worker runs a small work unit for long.
+fn held_back(site: &Site, trouble: bool) -> Result<Vec<String>, Failure> {
+    let long = r#"{"spec":"run_ms=70000","steps":[{"count":16,"cpu":5600,"mem_mb":11000,"gpu":1,"estimate_ms":70000,"anti_affinity":1}]}"#;
+    let urgent = r#"{"spec":"run_ms=2100","steps":[{"count":16,"cpu":7500,"mem_mb":11000,"gpu":8,"estimate_ms":2100,"gang":true}]}"#;
+    let hand_in = |target: &str, body: &str| {
+        let (status, _) = site.client_call_at("POST", target, Some(&Json::parse(body.as_bytes())));
+        match status {
+            200 => Ok(()),
+            _ => Err(format!("{target} was answered with {status}")),
+        }
+    };
+    hand_in("/q/00000000000000a1", long)?;
+    site.wait_for_run("00000000000000a1.0.0.15", 8_000)?;
+    sleep(15_000);
+    if trouble {
+        hand_in("/u/00000000000000a2", urgent)?;
+    }
+    sleep(1_000);
+    let jobs: Vec<String> = (0..3).map(|n| format!("{:016x}", 0xb0 + n)).collect();
+    for job in &jobs {
+        site.submit(job, 1, 2_000)?;
+    }
+    let last_sent_ms = unix_ms();
+    let mut broken = Vec::new();
+    sleep(FINISH_MS + 3_000);
+    let now = unix_ms();
+    let runs = site.runs();
+    let in_use = runs.iter().filter(|run| run.ended_ms.is_none()).count();
+    for job in &jobs {
+        if !runs.iter().any(|run| run.task.starts_with(job.as_str())) {
+            broken.push(format!(
+                "job {job} (one accelerator) has had nothing running for {} ms since the last job was handed in; \
+                 {in_use} of 128 accelerators are in use, at least 7 are free on each of 16 workers",
+                now - last_sent_ms
+            ));
+        }
+    }
+    Ok(broken)
+}
--- a/review/standins/site.rs
+++ b/review/standins/site.rs
@@ -97,7 +97,13 @@
     /// Starts a store, `workers` workers on racks of eight, and three nodes. With `links`, workers are reached, and reach
     /// the store, through links that can be cut.
     /// The last `special` workers are of kind `b`, the others of kind `a`.
-    pub fn start(workers: usize, special: usize, links: bool) -> Result<Arc<Site>, Failure> {
+    /// With `urgent` there is a queue of priority 0 beside the one of priority 1.
+    pub fn start(
+        workers: usize,
+        special: usize,
+        links: bool,
+        urgent: bool,
+    ) -> Result<Arc<Site>, Failure> {
         let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         fs::create_dir_all(&folder).map_err(|e| e.to_string())?;
         let store = free_address();
@@ -115,7 +121,7 @@
         wait_for("the store answers", 5_000, || {
             site.store_call("/kv-range?prefix=op/").is_some()
         })?;
-        site.put("op/config", &configuration(), 0);
+        site.put("op/config", &configuration(urgent), 0);
         for number in 0..workers {
             let listen = free_address();
             let link = links.then(|| (Link::open(listen), Link::open(store)));
@@ -325,18 +331,6 @@
         );
     }
 
-    /// Makes a worker unhealthy: it refuses starts with 503, and goes on with what it runs and with its heartbeats.
-    pub fn make_unhealthy(&self, id: &str, for_ms: u64) {
-        let body = map([("for_ms", int(for_ms))]);
-        let address = self.workers[id].listen;
-        let _ = http::call(address, "POST", "/standin/unhealthy", &[], Some(&body), 500);
-    }
-
-    /// Returns the ids of all workers.
-    pub fn worker_ids(&self) -> Vec<String> {
-        self.workers.keys().cloned().collect()
-    }
-
     /// Writes the settings of a node, as its template has them, and starts it.
     fn prepare_node(&self, number: usize, cloud: SocketAddr) -> Result<NodeProcess, Failure> {
         let (callers, readiness) = (free_address(), free_address());
@@ -517,13 +511,17 @@
         self.workers[id].advertised
     }
 
-    /// Makes a client's call at the next node; the status, 0 without an answer, and the body.
+    /// Makes a client's call about a job of the queue at the next node; the status, 0 without an answer, and the body.
     pub fn client_call(&self, method: &str, id: &str, body: Option<&Json>) -> http::Answer {
+        self.client_call_at(method, &format!("/q/{id}"), body)
+    }
+
+    /// Makes a client's call at the next node; the status, 0 without an answer, and the body.
+    pub fn client_call_at(&self, method: &str, target: &str, body: Option<&Json>) -> http::Answer {
         let turn = self.turn.fetch_add(1, Ordering::SeqCst);
         let node = self.nodes[turn % self.nodes.len()].callers;
         let sent = body.map_or(String::new(), |body| format!(" {body}"));
-        let target = format!("/q/{id}");
-        let answer = http::call(node, method, &target, &client_headers(), body, 3_000)
+        let answer = http::call(node, method, target, &client_headers(), body, 3_000)
             .unwrap_or((0, Json::Null));
         self.note(&format!(
             "client: {method} {target}{sent} -> {} {}",
@@ -535,16 +533,11 @@
     /// Hands a job in, once: one step of `count` work units, which each work for `run_ms` on one accelerator. Returns the
     /// status of the answer.
     pub fn hand_in(&self, id: &str, count: u64, run_ms: u64) -> u16 {
-        self.hand_in_sized(id, count, run_ms, 1)
-    }
-
-    /// Hands a job in like [`Site::hand_in`], with work units of several accelerators each.
-    pub fn hand_in_sized(&self, id: &str, count: u64, run_ms: u64, accelerators: u64) -> u16 {
         let step = map([
             ("count", int(count)),
             ("cpu", int(5_600)),
             ("mem_mb", int(11_000)),
-            ("gpu", int(accelerators)),
+            ("gpu", int(1)),
             ("estimate_ms", int(run_ms)),
         ]);
         let spec = text(format!("run_ms={run_ms}"));
@@ -563,15 +556,6 @@
         Err(format!("job {id} was not accepted"))
     }
 
-    /// Returns how many jobs wait in the queue, as each node says it; nodes that don't answer with 200 are left out.
-    pub fn waiting(&self) -> Vec<u64> {
-        (0..self.nodes.len())
-            .map(|_| self.client_call("GET", "", None))
-            .filter(|(status, _)| *status == 200)
-            .map(|(_, body)| body.get("waiting").u64())
-            .collect()
-    }
-
     /// Returns the state of a job, as a client sees it.
     pub fn state(&self, id: &str) -> String {
         self.client_call("GET", id, None)
@@ -740,8 +724,22 @@
     ]
 }
 
-/// The desired state: one queue, one service that doesn't guard its capacity, one tenant.
-fn configuration() -> Json {
+/// The desired state: one queue, one service that doesn't guard its capacity, one tenant. With `urgent` a second queue, of
+/// priority 0.
+fn configuration(urgent: bool) -> Json {
+    let urgent_route = map([
+        ("name", text("urgent")),
+        ("host", text("desk.example")),
+        ("prefix", text("/u/")),
+        ("type", text("non_idempotent")),
+        ("timeout_ms", int(3_000)),
+        ("target_latency_ms", int(400)),
+        ("priority", int(0)),
+        ("service", text("engine")),
+        ("attempts", int(2)),
+        ("stretch", Json::Float(1.5)),
+        ("public", Json::Bool(false)),
+    ]);
     let route = map([
         ("name", text("queue")),
         ("host", text("desk.example")),
@@ -766,7 +764,14 @@
     ]);
     map([
         ("version", int(1)),
-        ("routes", List(vec![route])),
+        (
+            "routes",
+            List(if urgent {
+                vec![route, urgent_route]
+            } else {
+                vec![route]
+            }),
+        ),
         ("services", List(vec![service])),
         ("limits", map([("max_body_bytes", int(65_536))])),
         ("tenants", List(vec![tenant])),
--- a/review/standins/worker.rs
+++ b/review/standins/worker.rs
@@ -59,8 +59,6 @@
     last_end: u64,
     draining: bool,
     leaves: Option<Instant>,
-    /// Until when it refuses starts, being unhealthy; its heartbeats go on.
-    unhealthy_until: Option<Instant>,
     seq: u64,
     events: File,
 }
@@ -101,7 +99,6 @@
             last_end: 0,
             draining: false,
             leaves: None,
-            unhealthy_until: None,
             seq: 0,
             events,
         }),
@@ -264,13 +261,6 @@
             state.log(self, "draining");
             return (200, map([]));
         }
-        if call.path == "/standin/unhealthy" {
-            let mut state = self.lock();
-            let for_ms = call.body.get("for_ms").u64();
-            state.unhealthy_until = Some(Instant::now() + Duration::from_millis(for_ms));
-            state.log(self, &format!("unhealthy for {for_ms} ms"));
-            return (200, map([]));
-        }
         if call.method == "GET" {
             return (if self.lock().draining { 503 } else { 200 }, map([]));
         }
@@ -306,13 +296,6 @@
         let (task, run) = (body.get("task").str(), body.get("run").u64());
         let deadline_ms = body.get("deadline_ms").u64();
         let mut state = self.lock();
-        if state
-            .unhealthy_until
-            .is_some_and(|until| Instant::now() < until)
-        {
-            state.log(self, &format!("refused {task} run {run} as unhealthy"));
-            return (503, map([("clock_ms", int(self.clock_ms()))]));
-        }
         if deadline_ms <= self.clock_ms() {
             return self.refuse("late");
         }
