--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -69,8 +69,8 @@
 fn silent_restart(site: &Site, trouble: bool) -> Result<Vec<String>, Failure> {
     for round in 0..4_u64 {
         let (long, short) = (
-            format!("{:016x}", 0xa0 + round),
-            format!("{:016x}", 0xb0 + round),
+            format!("{:015x}a", 0xa0 + round),
+            format!("{:015x}a", 0xb0 + round),
         );
         site.submit(&long, 4, 6_000)?;
         let victim = site.wait_for_run(&format!("{long}.0.0.0"), 5_000)?.worker;
@@ -92,7 +92,7 @@
 
 /// A worker that drains is cut off for 5.5 s, and runs on.
 fn leaving_and_cut_off(site: &Site, trouble: bool) -> Result<Vec<String>, Failure> {
-    let job = "00000000000000c1";
+    let job = "0000000000000c1a";
     site.submit(job, 2, 60_000)?;
     let worker = site.wait_for_run(&format!("{job}.0.0.0"), 5_000)?.worker;
     sleep(1_000);
@@ -110,7 +110,7 @@
 /// Another writer writes the entry of a worker, without the field `born`; the worker's next heartbeat puts it right.
 fn entry_without_born(site: &Site, trouble: bool) -> Result<Vec<String>, Failure> {
     for round in 0..3_u64 {
-        let job = format!("{:016x}", 0xe1 + round);
+        let job = format!("{:015x}a", 0xe1 + round);
         site.submit(&job, 2, 8_000)?;
         let worker = site.wait_for_run(&format!("{job}.0.0.0"), 5_000)?.worker;
         sleep(1_500);
@@ -146,7 +146,7 @@
     }
     site.note("the wave is said to be completed");
     sleep(5_000);
-    let job = "00000000000000f1";
+    let job = "0000000000000f1a";
     let body = r#"{"spec":"lasting run_ms=600000","steps":[{"count":2,"cpu":5600,"mem_mb":11000,"gpu":1,"estimate_ms":60000,"requires":"b","long_running":true,"may_miss":1}]}"#;
     if site
         .client_call("POST", job, Some(&Json::parse(body.as_bytes())))
@@ -198,14 +198,14 @@
             _ => Err(format!("{target} was answered with {status}")),
         }
     };
-    hand_in("/q/00000000000000a1", long)?;
-    site.wait_for_run("00000000000000a1.0.0.15", 8_000)?;
+    hand_in("/q/0000000000000a1a", long)?;
+    site.wait_for_run("0000000000000a1a.0.0.15", 8_000)?;
     sleep(15_000);
     if trouble {
-        hand_in("/u/00000000000000a2", urgent)?;
+        hand_in("/u/0000000000000a2a", urgent)?;
     }
     sleep(1_000);
-    let jobs: Vec<String> = (0..3).map(|n| format!("{:016x}", 0xb0 + n)).collect();
+    let jobs: Vec<String> = (0..3).map(|n| format!("{:015x}a", 0xb0 + n)).collect();
     for job in &jobs {
         site.submit(job, 1, 2_000)?;
     }
