Log what shows that a run is over

Reports of a task that runs twice could not be traced from the logs: 'run lost' named neither the worker's incarnation nor the event that made the planner count the run as over, and a list, an answer to an order and an answer to a renewal left the same words. 'run lost', 'worker gone' and 'lease ended' now say the incarnation, the address, the last answer and the evidence; an entry of the list or an answer is named with the incarnation that it gives. No decision changes.

--- a/crates/control/src/lease_renewal.rs
+++ b/crates/control/src/lease_renewal.rs
@@ -106,11 +106,8 @@
             RenewalOutcome::Over
         }
         Ok(Err(WorkerReply::OtherLife)) => {
-            term.lock_planner().remove_incarnation(
-                key,
-                "another incarnation answers at its address",
-                now_ms(),
-            );
+            term.lock_planner()
+                .remove_incarnation(key, "another id answered a renewal", now_ms());
             RenewalOutcome::Over
         }
         other => {
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -257,15 +257,15 @@
         }
     }
 
-    /// Handles a run that is over although no worker reported its outcome.
-    pub(crate) fn lose_task(&mut self, key: TaskKey, now_ms: u64) {
+    /// Handles a run that is over although no worker reported its outcome; `evidence` says what shows that it is over.
+    pub(crate) fn lose_task(&mut self, key: TaskKey, evidence: &str, now_ms: u64) {
         let Some(phase) = self.task(key).map(|task| task.phase) else {
             return;
         };
         if matches!(phase, Phase::Ending { .. }) {
             return self.release_task(key, Phase::Done, now_ms);
         }
-        self.record_lost_run(key, now_ms);
+        self.record_lost_run(key, evidence, now_ms);
         if !matches!(phase, Phase::Stopping { .. }) {
             self.counts.lost += 1;
         }
@@ -278,8 +278,8 @@
         self.settle_job(key.group.job);
     }
 
-    /// Logs a run that is lost, with its worker and age.
-    fn record_lost_run(&mut self, key: TaskKey, now_ms: u64) {
+    /// Logs a run that is lost, with its worker, its age and the evidence.
+    fn record_lost_run(&mut self, key: TaskKey, evidence: &str, now_ms: u64) {
         let (Some(job), Some(task)) = (self.jobs.get(key.group.job), self.task(key)) else {
             return;
         };
@@ -287,10 +287,10 @@
             .phase
             .worker()
             .and_then(|worker| self.workers.get(worker))
-            .map_or_else(String::new, |worker| worker.entry.id.clone());
+            .map_or_else(String::new, |worker| worker.describe(now_ms));
         let name = job.task_name(key.group.group as usize, key.index as usize);
         let why = format!(
-            "task {name} run {} on worker {worker}, placed {} ms ago, confirmed: {}",
+            "task {name} run {} on {worker}, placed {} ms ago, confirmed: {}; {evidence}",
             task.run,
             now_ms.saturating_sub(task.placed_ms),
             task.started_ms >= task.placed_ms,
--- a/crates/scheduler/src/events.rs
+++ b/crates/scheduler/src/events.rs
@@ -48,7 +48,8 @@
             let same =
                 known.filter(|key| self.workers[*key].entry.born_unix_ms == entry.born_unix_ms);
             if let (Some(before), None) = (known, same) {
-                self.remove_incarnation(before, "a new incarnation has the same id", now_ms);
+                let why = format!("the list names born {} under its id", entry.born_unix_ms);
+                self.remove_incarnation(before, &why, now_ms);
             }
             let key = same.unwrap_or_else(|| self.add_worker(entry.clone(), now_ms));
             self.refresh_worker(key, entry, now_ms);
@@ -84,7 +85,11 @@
             .map(|(key, _)| key)
             .collect();
         for key in before {
-            self.remove_incarnation(key, "a new incarnation has the same address", now_ms);
+            let why = format!(
+                "the list names worker {}, born {}, at its address",
+                entry.id, entry.born_unix_ms
+            );
+            self.remove_incarnation(key, &why, now_ms);
         }
         let id = entry.id.clone();
         let rack = self.racks.key(&entry.rack);
@@ -191,17 +196,17 @@
             return;
         };
         let tasks: Vec<TaskKey> = worker.tasks.keys().copied().collect();
-        let why = format!(
-            "worker {}: {why}; {} tasks were assigned to it",
-            worker.entry.id,
+        let gone = format!(
+            "{}: {why}; {} tasks were assigned to it",
+            worker.describe(now_ms),
             tasks.len()
         );
-        self.record_decision(None, "worker gone", why);
+        self.record_decision(None, "worker gone", gone);
         if let Some(loss) = loss {
             self.count_crashes(&tasks, key, loss);
         }
         for task in tasks {
-            self.lose_task(task, now_ms);
+            self.lose_task(task, why, now_ms);
         }
         if let Some(worker) = self.workers.remove(key)
             && self.by_id.get(&worker.entry.id) == Some(&key)
@@ -260,11 +265,11 @@
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
-        if report
-            .born_unix_ms
-            .is_some_and(|born| born != worker.entry.born_unix_ms)
+        if let Some(born_unix_ms) = report.born_unix_ms
+            && born_unix_ms != worker.entry.born_unix_ms
         {
-            return self.remove_incarnation(key, "another incarnation answered", now_ms);
+            let why = format!("an incarnation born {born_unix_ms} answered a renewal");
+            return self.remove_incarnation(key, &why, now_ms);
         }
         let first = !worker.fenced;
         if first {
@@ -337,7 +342,7 @@
                 _ => false,
             };
             if over {
-                self.lose_task(task, now_ms);
+                self.lose_task(task, "its worker does not list it", now_ms);
             }
         }
     }
@@ -448,15 +453,11 @@
             if tasks.is_empty() {
                 continue;
             }
-            let why = format!(
-                "worker {} last answered {} ms ago",
-                worker.entry.id,
-                now_ms.saturating_sub(worker.answered_ms)
-            );
+            let why = worker.describe(now_ms);
             self.record_decision(None, "lease ended", why);
             self.count_crashes(&tasks, key, WorkerLoss::Silent);
             for task in tasks {
-                self.lose_task(task, now_ms);
+                self.lose_task(task, "the lease of its worker has ended", now_ms);
             }
         }
     }
--- a/crates/scheduler/src/outcomes.rs
+++ b/crates/scheduler/src/outcomes.rs
@@ -39,7 +39,7 @@
             }
             StartOutcome::OlderTerm => self.superseded = true,
             StartOutcome::OtherLife => {
-                self.remove_incarnation(worker, "another incarnation answered", now_ms)
+                self.remove_incarnation(worker, "another id answered a start", now_ms)
             }
             _ => self.handle_refused_start(key, worker, unanswered, outcome, now_ms),
         }
@@ -142,7 +142,7 @@
             }
             StopOutcome::OlderTerm => self.superseded = true,
             StopOutcome::OtherLife => {
-                self.remove_incarnation(worker, "another incarnation answered", now_ms)
+                self.remove_incarnation(worker, "another id answered a stop", now_ms)
             }
             StopOutcome::NoAnswer => {
                 self.counts.unanswered += 1;
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -286,6 +286,25 @@
         self.entry.capacity.minus(&self.used).minus(&orphaned_runs)
     }
 
+    /// Returns its incarnation, address and last answer for the log.
+    pub fn describe(&self, now_ms: u64) -> String {
+        let answered = match self.fenced {
+            true => format!(
+                "answered {} ms ago",
+                now_ms.saturating_sub(self.answered_ms)
+            ),
+            false => "has not answered this planner".to_string(),
+        };
+        format!(
+            "worker {} at {}, born {}, listed: {}, leaving: {}, {answered}",
+            self.entry.id,
+            self.entry.address,
+            self.entry.born_unix_ms,
+            self.listed,
+            self.entry.leaving
+        )
+    }
+
     /// Returns the stored form of this incarnation.
     pub fn stored(&self) -> StoredWorker {
         StoredWorker {
