--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -4,6 +4,8 @@
 
 pub mod crash_site;
 pub mod crest;
+pub mod live_site;
+pub mod live_worker;
 
 use scheduler::prelude::*;
 use scheduler::{
