--- a/crates/control/src/lease_renewal.rs
+++ b/crates/control/src/lease_renewal.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use adapter::{CallError, LeaseRenewal, WorkerReply};
-use scheduler::{RenewalReport, WorkerEntry, WorkerKey};
+use scheduler::{Planner, RenewalReport, WorkerEntry, WorkerKey};
 
 use crate::clock::now_ms;
 use crate::metrics::Counter;
@@ -17,12 +17,21 @@
 /// leave free: their metrics change within seconds.
 const SHARED_WORKER_WAIT_MS: u64 = 400;
 
+/// How long a renewal waits at a leaving worker: its lease is short, and it may exit at any time.
+const LEAVING_WORKER_WAIT_MS: u64 = 500;
+
 /// How long to wait for ended runs to be stored before the next renewal.
 const STORE_WAIT_MS: u64 = 300;
 
+/// The same at a leaving worker: what ends there has to be listed before it exits.
+const LEAVING_STORE_WAIT_MS: u64 = 40;
+
 /// Delay after an unanswered renewal.
 const RETRY_PAUSE_MS: u64 = 100;
 
+/// Delay after a renewal that a worker with another id answered.
+const OTHER_ID_PAUSE_MS: u64 = 500;
+
 type Answer = Result<Result<RenewalReport, WorkerReply>, CallError>;
 
 /// What came of one renewal.
@@ -32,70 +41,102 @@
     Answered,
     /// There was no usable answer.
     Unanswered,
-    /// That incarnation of the worker, or this term, is over.
+    /// A worker with another id answered.
+    OtherId,
+    /// The worker is no longer known, or this term is over.
     Over,
 }
 
-/// Renews the worker's lease until that incarnation of the worker or the term is over.
+/// Where a renewal is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Place {
+    /// The worker's own address.
+    Own,
+    /// Where the list places it, if it does not answer at its own address.
+    Proposed,
+}
+
+/// Renews the worker's lease until the worker is no longer known or the term is over.
 pub(crate) async fn renew_worker_lease(term: Arc<Term>, key: WorkerKey) {
     let mut new_connection = false;
     let mut first_renewal = true;
+    let mut place = Place::Own;
     loop {
         let at_once = first_renewal || new_connection;
-        let Some(answer) = send_renewal(&term, key, at_once, new_connection).await else {
+        let Some((address, answer)) =
+            send_renewal(&term, key, place, at_once, new_connection).await
+        else {
             return;
         };
         let stored = term.ends_stored.notified();
         tokio::pin!(stored);
         stored.as_mut().enable();
-        match apply_answer(&term, key, answer) {
+        let pause_ms = match apply_answer(&term, key, &address, answer) {
             RenewalOutcome::Answered => {
-                (first_renewal, new_connection) = (false, false);
-                if term.lock_planner().has_unstored_ends(key) {
-                    let _ =
-                        tokio::time::timeout(Duration::from_millis(STORE_WAIT_MS), stored).await;
+                (first_renewal, new_connection, place) = (false, false, Place::Own);
+                if let Some(wait_ms) = store_wait_ms(&term, key) {
+                    let _ = tokio::time::timeout(Duration::from_millis(wait_ms), stored).await;
                 }
+                continue;
             }
-            RenewalOutcome::Unanswered => {
-                new_connection = true;
-                tokio::time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
-            }
+            RenewalOutcome::Unanswered => RETRY_PAUSE_MS,
+            RenewalOutcome::OtherId => OTHER_ID_PAUSE_MS,
             RenewalOutcome::Over => return,
-        }
+        };
+        new_connection = true;
+        place = match place {
+            Place::Own => Place::Proposed,
+            Place::Proposed => Place::Own,
+        };
+        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
     }
 }
 
+/// Returns how long to wait until ended runs that a worker has listed are stored; none if all are.
+fn store_wait_ms(term: &Term, key: WorkerKey) -> Option<u64> {
+    let planner = term.lock_planner();
+    let wait_ms = match is_leaving(&planner, key) {
+        true => LEAVING_STORE_WAIT_MS,
+        false => STORE_WAIT_MS,
+    };
+    planner.has_unstored_ends(key).then_some(wait_ms)
+}
+
+fn is_leaving(planner: &Planner, key: WorkerKey) -> bool {
+    planner.entry(key).is_some_and(|entry| entry.leaving)
+}
+
 /// Renews the worker's lease once, on a new connection, to learn which incarnation answers.
 pub(crate) async fn check_incarnation(term: &Term, key: WorkerKey) -> RenewalOutcome {
-    match send_renewal(term, key, true, true).await {
-        Some(answer) => apply_answer(term, key, answer),
+    match send_renewal(term, key, Place::Own, true, true).await {
+        Some((address, answer)) => apply_answer(term, key, &address, answer),
         None => RenewalOutcome::Over,
     }
 }
 
-/// Sends the next renewal; none if that incarnation of the worker is over. With `at_once` the worker answers without
-/// waiting.
+/// Sends the next renewal, and returns its address and answer; none if the worker is no longer known. With `at_once` the
+/// worker answers without waiting.
 async fn send_renewal(
     term: &Term,
     key: WorkerKey,
+    place: Place,
     at_once: bool,
     new_connection: bool,
-) -> Option<Answer> {
-    let (entry, renewal) = next_renewal(term, key, at_once)?;
+) -> Option<(String, Answer)> {
+    let (entry, renewal) = next_renewal(term, key, place, at_once)?;
     let workers = &term.node.workers;
-    Some(
-        workers
-            .renew_lease(&entry, renewal, now_ms, new_connection)
-            .await,
-    )
+    let answer = workers
+        .renew_lease(&entry, renewal, now_ms, new_connection)
+        .await;
+    Some((entry.address, answer))
 }
 
-/// Applies the answer to a renewal.
-fn apply_answer(term: &Term, key: WorkerKey, answer: Answer) -> RenewalOutcome {
+/// Applies the answer to a renewal that was sent to an address.
+fn apply_answer(term: &Term, key: WorkerKey, address: &str, answer: Answer) -> RenewalOutcome {
     let outcome = match answer {
         Ok(Ok(report)) => {
             let mut planner = term.lock_planner();
-            planner.apply_report(key, &report);
+            planner.apply_report_from(key, address, &report);
             match planner.has_worker(key) {
                 true => RenewalOutcome::Answered,
                 false => RenewalOutcome::Over,
@@ -105,34 +146,48 @@
             term.lock_planner().record_later_term();
             RenewalOutcome::Over
         }
-        Ok(Err(WorkerReply::OtherLife)) => {
-            term.lock_planner()
-                .remove_incarnation(key, "another id answered a renewal", now_ms());
-            RenewalOutcome::Over
-        }
         other => {
-            let refused = matches!(&other, Err(e) if e.is_not_done());
-            term.node.metrics.count(Counter::HoldsUnanswered);
-            term.lock_planner().record_unanswered_renewal(key, refused);
-            return RenewalOutcome::Unanswered;
+            let outcome = match other {
+                Ok(Err(WorkerReply::OtherLife)) => RenewalOutcome::OtherId,
+                _ => RenewalOutcome::Unanswered,
+            };
+            term.node.metrics.count(match outcome {
+                RenewalOutcome::OtherId => Counter::HoldsOtherId,
+                _ => Counter::HoldsUnanswered,
+            });
+            term.lock_planner().record_unanswered_renewal(key);
+            return outcome;
         }
     };
     term.wake.notify_one();
     outcome
 }
 
-/// Returns the next renewal; none once the incarnation of the worker is over. With `at_once` the worker answers without
-/// waiting.
-fn next_renewal(term: &Term, key: WorkerKey, at_once: bool) -> Option<(WorkerEntry, LeaseRenewal)> {
+/// Returns the next renewal, and the entry of the worker with the address to send it to; none once the worker is no longer
+/// known. With `at_once` the worker answers without waiting.
+fn next_renewal(
+    term: &Term,
+    key: WorkerKey,
+    place: Place,
+    at_once: bool,
+) -> Option<(WorkerEntry, LeaseRenewal)> {
     let mut planner = term.lock_planner();
-    let entry = planner.entry(key)?.clone();
-    let lease_end_clock_ms = match planner.is_occupied(key) {
+    let mut entry = planner.entry(key)?.clone();
+    if place == Place::Proposed
+        && let Some(address) = planner.proposed_address(key)
+    {
+        entry.address = address.to_string();
+    }
+    // A successor relies on it that the lease of a leaving worker is renewed only under a valid lead.
+    let may_renew = !entry.leaving || term.is_lead_valid();
+    let lease_end_clock_ms = match planner.is_occupied(key) && may_renew {
         true => planner.grant_lease(key),
         false => None,
     };
     let wait_ms = match at_once || planner.has_unstored_ends(key) {
         true => 0,
         false if planner.is_shared(key) => SHARED_WORKER_WAIT_MS,
+        false if entry.leaving => LEAVING_WORKER_WAIT_MS,
         false => WAIT_MS,
     };
     let renewal = LeaseRenewal {
--- a/crates/control/src/listing.rs
+++ b/crates/control/src/listing.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use adapter::{CallError, EVACUATIONS_PREFIX, WORKERS_PREFIX, decode_worker_entry};
-use scheduler::WorkerList;
+use scheduler::{WorkerKey, WorkerList};
 
 use crate::clock::now_ms;
-use crate::lease_renewal::renew_worker_lease;
+use crate::lease_renewal::{check_incarnation, renew_worker_lease};
 use crate::metrics::Counter;
 use crate::node::Node;
 use crate::term::Term;
@@ -56,11 +56,22 @@
         let Ok(list) = read_workers(&term.node).await else {
             continue;
         };
-        let added = term.lock_planner().list_workers(list, now_ms());
+        let (added, doubted) = {
+            let mut planner = term.lock_planner();
+            (planner.list_workers(list, now_ms()), planner.take_doubted())
+        };
         term.record_worker_list(asked_ms);
         for worker in added {
             term.spawn(renew_worker_lease(term.clone(), worker));
         }
+        for worker in doubted {
+            term.spawn(ask_worker(term.clone(), worker));
+        }
         term.wake.notify_one();
     }
 }
+
+/// Asks a worker which incarnation of it is alive. The renewal in flight may be on a connection to an earlier one.
+async fn ask_worker(term: Arc<Term>, worker: WorkerKey) {
+    check_incarnation(&term, worker).await;
+}
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -54,6 +54,12 @@
     LeadsLost,
     /// Unanswered renewals of workers' leases.
     HoldsUnanswered,
+    /// Renewals that a worker with another id answered.
+    HoldsOtherId,
+    /// Entries of the list that contradict what their worker itself has said.
+    EntriesSetAside,
+    /// Workers that answered as a later incarnation.
+    WorkersRestarted,
     /// Orders sent again because they were unanswered.
     OrderRetries,
     /// Starts that workers refused.
--- a/crates/control/src/orders.rs
+++ b/crates/control/src/orders.rs
@@ -36,15 +36,11 @@
                     | Order::Pace { worker, .. } => Some(*worker),
                     Order::Ask { .. } => None,
                 };
-                let lease = match &order {
-                    Order::Start { worker, .. } => planner.grant_lease(*worker),
-                    _ => None,
-                };
-                (order, worker.and_then(|w| planner.entry(w).cloned()), lease)
+                (order, worker.and_then(|w| planner.entry(w).cloned()))
             })
             .collect::<Vec<_>>()
     };
-    for (order, entry, lease) in orders {
+    for (order, entry) in orders {
         match (order, entry) {
             (
                 Order::Ask {
@@ -54,20 +50,15 @@
                 },
                 _,
             ) => term.spawn(request_advice(term.clone(), group, step, workers)),
-            (order, Some(entry)) => term.spawn(send_order(term.clone(), order, entry, lease)),
-            // The incarnation of the worker is over, and so is every run on it.
+            (order, Some(entry)) => term.spawn(send_order(term.clone(), order, entry)),
+            // The worker is gone, and so is every run on it.
             (_, None) => {}
         }
     }
 }
 
 /// Sends one order.
-async fn send_order(
-    term: Arc<Term>,
-    order: Order,
-    entry: WorkerEntry,
-    lease_end_clock_ms: Option<u64>,
-) {
+async fn send_order(term: Arc<Term>, order: Order, entry: WorkerEntry) {
     let again = matches!(
         order,
         Order::Start { again: true, .. } | Order::Stop { again: true, .. }
@@ -89,9 +80,11 @@
             ..
         } => {
             let check = check_start(&term, worker, task_key, run, again).await;
-            let outcome = match (check, lease_end_clock_ms) {
+            // The worker may have restarted while the order waited: with another clock, or at another address.
+            let target = grant_start(&term, worker);
+            let outcome = match (check, target) {
                 (StartCheck::Withdrawn, _) => return term.wake.notify_one(),
-                (StartCheck::Send, Some(lease_end_clock_ms)) => {
+                (StartCheck::Send, Some((entry, lease_end_clock_ms))) => {
                     let details = StartDetails {
                         text: &text,
                         lease_end_clock_ms,
@@ -151,6 +144,14 @@
     term.wake.notify_one();
 }
 
+/// Returns where to send a start, and the end of the lease to send with it, on the worker's clock; none if the worker is no
+/// longer known or its clock is not.
+fn grant_start(term: &Term, worker: WorkerKey) -> Option<(WorkerEntry, u64)> {
+    let mut planner = term.lock_planner();
+    let lease_end_clock_ms = planner.grant_lease(worker)?;
+    Some((planner.entry(worker)?.clone(), lease_end_clock_ms))
+}
+
 /// Whether a start may be sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum StartCheck {
--- a/crates/control/src/term.rs
+++ b/crates/control/src/term.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use scheduler::{Limits, Planner};
+use scheduler::{LEASE_LENGTH_MARGIN_MS, Limits, Planner};
 use serde_json::Value;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
@@ -24,9 +24,6 @@
 /// pages list is 9 s. A successor waits this much longer before it gives up an unresponsive worker.
 pub(crate) const RENEW_WORKERS_WITHOUT_LEAD_MS: u64 = 4_000;
 
-/// How much shorter the workers' leases are than the longest that a worker grants.
-const LEASE_LENGTH_MARGIN_MS: u64 = 500;
-
 /// A worker that has not answered for this long is unresponsive and gets no new work; a worker answers a renewal within
 /// 2 s.
 const UNRESPONSIVE_AFTER_MS: u64 = 2_900;
@@ -303,6 +300,10 @@
     node.metrics.set(Counter::Preempted, counts.preempted);
     node.metrics.set(Counter::TasksLost, counts.lost);
     node.metrics.set(Counter::JobsGivenUp, counts.given_up);
+    node.metrics
+        .set(Counter::EntriesSetAside, counts.entries_set_aside);
+    node.metrics
+        .set(Counter::WorkersRestarted, counts.restarted);
     node.metrics.set(Counter::TasksFailed, counts.failed);
     node.metrics.set(Counter::TasksBroken, counts.broken);
     node.metrics.set(Counter::TasksAlone, counts.alone);
--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -10,7 +10,6 @@
 use crate::group::{GroupKey, Phase, TaskKey};
 use crate::job::{Job, JobState};
 use crate::planner::Planner;
-use crate::record::StoredWorker;
 use crate::worker::{Worker, WorkerKey};
 
 /// A worker that crashes within this time after it started a task may have crashed because of that task; a worker
@@ -72,7 +71,7 @@
 /// How a worker was lost.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum WorkerLoss {
-    /// Another incarnation has replaced it, and it had not announced that it leaves.
+    /// Another incarnation or worker answered in its place, and it had not announced that it leaves.
     Crashed,
     /// It fell silent until its lease expired; it may have crashed or be cut off.
     Silent,
@@ -138,15 +137,6 @@
         }
     }
 
-    /// Counts the loss of the worker that ran a task in an earlier term, if another incarnation has replaced it.
-    pub(crate) fn count_crash_before_term(&mut self, key: TaskKey, worker: Option<&StoredWorker>) {
-        if worker.is_some_and(|worker| !worker.leaving)
-            && let Some(task) = self.task_mut(key)
-        {
-            task.crashes.all += 1;
-        }
-    }
-
     /// Fails a job with a task in this group that has crashed too many workers.
     pub(crate) fn give_up_if_crashing(&mut self, group: GroupKey, now_ms: u64) {
         let Some(job) = self.jobs.get(group.job) else {
--- a/crates/scheduler/src/events.rs
+++ b/crates/scheduler/src/events.rs
@@ -1,9 +1,7 @@
-//! Applies external events to the planner: submitted and cancelled jobs, lists of workers, and answers to lease
-//! renewals.
+//! Applies external events to the planner: submitted and cancelled jobs, and answers to lease renewals.
 
 use std::collections::HashSet;
 
-use crate::crashes::WorkerLoss;
 use crate::group::{Phase, TaskKey};
 use crate::job::{Job, JobState};
 use crate::orders::Order;
@@ -11,10 +9,7 @@
 use crate::record::StoredJob;
 use crate::spec::Resources;
 use crate::task::{JobId, TaskName};
-use crate::worker::{ActiveRun, RenewalReport, Worker, WorkerKey, WorkerList};
-
-/// An unlisted worker that runs nothing is forgotten after this time.
-const FORGET_UNLISTED_MS: u64 = 5_000;
+use crate::worker::{ActiveRun, LEAVING_LEASE_MS, RenewalReport, WorkerKey};
 
 impl Planner {
     /// Adds an accepted job; `order` rises with the order of acceptance.
@@ -40,192 +35,6 @@
         }
     }
 
-    /// Applies the platform's current list of workers. Returns the workers whose leases have to be renewed from now on.
-    pub fn list_workers(&mut self, list: WorkerList, now_ms: u64) -> Vec<WorkerKey> {
-        let mut named = HashSet::new();
-        for entry in list.entries {
-            let known = self.by_id.get(&entry.id).copied();
-            let same =
-                known.filter(|key| self.workers[*key].entry.born_unix_ms == entry.born_unix_ms);
-            if let (Some(before), None) = (known, same) {
-                let why = format!("the list names born {} under its id", entry.born_unix_ms);
-                self.remove_incarnation(before, &why, now_ms);
-            }
-            let key = same.unwrap_or_else(|| self.add_worker(entry.clone(), now_ms));
-            self.refresh_worker(key, entry, now_ms);
-            named.insert(key);
-        }
-        self.update_unlisted(&named, now_ms);
-        self.take_unpolled()
-    }
-
-    /// Returns the workers whose leases have to be renewed from now on: listed ones, and unlisted ones that an earlier
-    /// planner used and that may still be alive.
-    pub fn take_unpolled(&mut self) -> Vec<WorkerKey> {
-        let mut added = Vec::new();
-        for (key, worker) in &mut self.workers {
-            if !worker.polled && !worker.entry.address.is_empty() {
-                worker.polled = true;
-                added.push(key);
-            }
-        }
-        added
-    }
-
-    /// Adds a new incarnation of a worker; earlier incarnations at the same address are over.
-    pub(crate) fn add_worker(&mut self, entry: crate::WorkerEntry, now_ms: u64) -> WorkerKey {
-        let before: Vec<WorkerKey> = self
-            .workers
-            .iter()
-            .filter(|(_, w)| {
-                !entry.address.is_empty()
-                    && w.entry.address == entry.address
-                    && w.entry.born_unix_ms < entry.born_unix_ms
-            })
-            .map(|(key, _)| key)
-            .collect();
-        for key in before {
-            let why = format!(
-                "the list names worker {}, born {}, at its address",
-                entry.id, entry.born_unix_ms
-            );
-            self.remove_incarnation(key, &why, now_ms);
-        }
-        let id = entry.id.clone();
-        let rack = self.racks.key(&entry.rack);
-        let key = self
-            .workers
-            .insert(Worker::new(entry, rack, now_ms, self.inherited_expiry_ms));
-        self.by_id.insert(id, key);
-        key
-    }
-
-    fn refresh_worker(&mut self, key: WorkerKey, entry: crate::WorkerEntry, now_ms: u64) {
-        let worker = &mut self.workers[key];
-        // The entry may be older than this read.
-        let leaves_at_ms = entry.remaining_ms.map(|remaining_ms| now_ms + remaining_ms);
-        worker.leaves_at_ms = match (entry.leaving, worker.leaves_at_ms, leaves_at_ms) {
-            (false, ..) => None,
-            (true, Some(before), Some(now)) => Some(before.min(now)),
-            (true, before, now) => before.or(now),
-        };
-        let before = worker.entry.capacity;
-        let after = entry.capacity;
-        if worker.entry.rack != entry.rack {
-            worker.rack = self.racks.key(&entry.rack);
-        }
-        if !worker.listed || worker.entry.leaving != entry.leaving {
-            self.changed = true;
-            let why = format!("worker {} listed, leaving: {}", entry.id, entry.leaving);
-            let leaves = entry.leaving && !worker.entry.leaving;
-            worker.listed = true;
-            worker.entry = entry;
-            self.record_decision(None, "worker state", why);
-            if leaves {
-                self.persist_leaving(key);
-            }
-        } else {
-            worker.entry = entry;
-        }
-        if before != after {
-            self.changed = true;
-            let why = format!(
-                "worker {}: {after:?}, before {before:?}",
-                self.workers[key].entry.id
-            );
-            self.record_decision(None, "worker capacity", why);
-            self.withdraw_unsent_starts(key, now_ms);
-        }
-    }
-
-    /// Marks the jobs on a leaving worker for storing, so that their records say that it leaves. A later planner that
-    /// finds the worker gone then knows that it has left.
-    fn persist_leaving(&mut self, key: WorkerKey) {
-        let jobs: HashSet<_> = self.workers[key]
-            .tasks
-            .keys()
-            .map(|t| t.group.job)
-            .collect();
-        for job in jobs {
-            self.mark_dirty(job);
-        }
-    }
-
-    /// Marks the workers that the newest list no longer names, and removes those that have left or are idle.
-    fn update_unlisted(&mut self, named: &HashSet<WorkerKey>, now_ms: u64) {
-        let missing: Vec<WorkerKey> = self
-            .workers
-            .keys()
-            .filter(|key| !named.contains(key))
-            .collect();
-        for key in missing {
-            let worker = &mut self.workers[key];
-            if worker.listed {
-                worker.listed = false;
-                worker.unlisted_since_ms = now_ms;
-                let why = format!("worker {} is no longer listed", worker.entry.id);
-                self.record_decision(None, "worker unlisted", why);
-                continue;
-            }
-            // A worker that announced that it leaves, is no longer listed and refuses calls has left.
-            let left = worker.entry.leaving && worker.refused;
-            let idle =
-                worker.tasks.is_empty() && now_ms > worker.unlisted_since_ms + FORGET_UNLISTED_MS;
-            if left || idle {
-                let why = "it is no longer listed and has left or is idle";
-                self.remove_worker(key, why, None, now_ms);
-            }
-        }
-    }
-
-    /// Removes an incarnation of a worker that another one has replaced: nothing of it runs any more.
-    pub fn remove_incarnation(&mut self, key: WorkerKey, why: &str, now_ms: u64) {
-        let Some(worker) = self.workers.get(key) else {
-            return;
-        };
-        let loss = match worker.entry.leaving || worker.draining {
-            false => Some(WorkerLoss::Crashed),
-            true => worker.fell_silent_early().then_some(WorkerLoss::Early),
-        };
-        self.remove_worker(key, why, loss, now_ms);
-    }
-
-    /// Removes a worker on which nothing runs any more; no `loss` if it has left as announced.
-    fn remove_worker(&mut self, key: WorkerKey, why: &str, loss: Option<WorkerLoss>, now_ms: u64) {
-        let Some(worker) = self.workers.get(key) else {
-            return;
-        };
-        let tasks: Vec<TaskKey> = worker.tasks.keys().copied().collect();
-        let gone = format!(
-            "{}: {why}; {} tasks were assigned to it",
-            worker.describe(now_ms),
-            tasks.len()
-        );
-        self.record_decision(None, "worker gone", gone);
-        if let Some(loss) = loss {
-            self.count_crashes(&tasks, key, loss);
-        }
-        for task in tasks {
-            self.lose_task(task, why, now_ms);
-        }
-        if let Some(worker) = self.workers.remove(key)
-            && self.by_id.get(&worker.entry.id) == Some(&key)
-        {
-            self.by_id.remove(&worker.entry.id);
-        }
-        self.changed = true;
-    }
-
-    /// Returns whether an incarnation of a worker is still known.
-    pub fn has_worker(&self, key: WorkerKey) -> bool {
-        self.workers.contains_key(key)
-    }
-
-    /// Returns the listed properties of a worker.
-    pub fn entry(&self, key: WorkerKey) -> Option<&crate::WorkerEntry> {
-        self.workers.get(key).map(|w| &w.entry)
-    }
-
     /// Returns the end of the lease to request, on the worker's clock; none while that clock is not known.
     ///
     /// Counted from the worker's last answer, so that calls that may never arrive don't extend the lease of an
@@ -233,15 +42,23 @@
     pub fn grant_lease(&mut self, key: WorkerKey) -> Option<u64> {
         let lease_ms = self.limits.lease_ms;
         let worker = self.workers.get_mut(key)?;
+        let lease_ms = match worker.entry.leaving {
+            true => lease_ms.min(LEAVING_LEASE_MS),
+            false => lease_ms,
+        };
         let (clock_ms, _) = worker.clock?;
-        let end = clock_ms + lease_ms;
+        let end = clock_ms.saturating_add(lease_ms);
         worker.lease_end_clock_ms = worker.lease_end_clock_ms.max(end);
         Some(end)
     }
 
-    /// Returns the highest number of an ended run that can be confirmed to the worker.
+    /// Returns the highest number of an ended run that can be confirmed to the worker. None is confirmed as long as
+    /// the next incarnation may answer, which would forget ends of its own.
     pub fn confirmed_ends(&self, key: WorkerKey) -> u64 {
-        self.workers.get(key).map_or(0, |w| w.ends_stored)
+        self.workers
+            .get(key)
+            .filter(|worker| !worker.may_have_restarted())
+            .map_or(0, |worker| worker.ends_stored)
     }
 
     /// Returns whether a worker has listed ended runs that are not in the store yet.
@@ -258,25 +75,32 @@
             .is_some_and(|w| !w.tasks.is_empty() || !w.orphaned_runs.is_empty())
     }
 
-    /// Applies a worker's answer to a lease renewal.
+    /// Applies a worker's answer to a lease renewal that was sent to its own address.
     pub fn apply_report(&mut self, key: WorkerKey, report: &RenewalReport) {
+        let Some(worker) = self.workers.get(key) else {
+            return;
+        };
+        let address = worker.entry.address.clone();
+        self.apply_report_from(key, &address, report);
+    }
+
+    /// Applies a worker's answer to a lease renewal that was sent to an address.
+    pub fn apply_report_from(&mut self, key: WorkerKey, address: &str, report: &RenewalReport) {
+        if self.is_outdated(key, report) {
+            return;
+        }
         let now_ms = report.received_ms;
         let lease_ms = self.limits.lease_ms;
+        self.apply_incarnation(key, address, report);
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
-        if let Some(born_unix_ms) = report.born_unix_ms
-            && born_unix_ms != worker.entry.born_unix_ms
-        {
-            let why = format!("an incarnation born {born_unix_ms} answered a renewal");
-            return self.remove_incarnation(key, &why, now_ms);
-        }
         let first = !worker.fenced;
         if first {
             // An earlier planner may have granted a lease as long as this one would.
             worker.lease_end_clock_ms = worker
                 .lease_end_clock_ms
-                .max(report.worker_clock_ms + lease_ms);
+                .max(report.worker_clock_ms.saturating_add(lease_ms));
         }
         if !worker.fenced
             || worker.unresponsive
@@ -286,7 +110,6 @@
         }
         worker.fenced = true;
         worker.unresponsive = false;
-        worker.refused = false;
         worker.answered_ms = now_ms;
         worker.clock = Some((report.worker_clock_ms, now_ms));
         let seen = worker.ends_seen;
@@ -361,6 +184,7 @@
             return;
         };
         task.last_metric = active.metric;
+        task.is_listed = true;
         if percent > task.percent {
             task.percent = percent;
             task.progressed_ms = now_ms;
@@ -416,11 +240,10 @@
         }
     }
 
-    /// Records a lease renewal without a usable answer; `refused` if the call could not be delivered.
-    pub fn record_unanswered_renewal(&mut self, key: WorkerKey, refused: bool) {
+    /// Records a call to a worker without a usable answer of its own.
+    pub fn record_unanswered_renewal(&mut self, key: WorkerKey) {
         if let Some(worker) = self.workers.get_mut(key) {
             worker.unresponsive = true;
-            worker.refused = refused;
         }
     }
 
@@ -428,37 +251,4 @@
     pub fn record_later_term(&mut self) {
         self.superseded = true;
     }
-
-    /// Returns whether a task is assigned to a worker and no order was sent yet.
-    fn is_unsent(&self, key: TaskKey) -> bool {
-        matches!(self.task(key).map(|t| t.phase), Some(Phase::Assigned(_)))
-    }
-
-    /// Treats the tasks on workers whose leases must have expired as lost; assignments that were not sent yet stay.
-    pub(crate) fn expire_leases(&mut self, now_ms: u64) {
-        let expired: Vec<WorkerKey> = self
-            .workers
-            .iter()
-            .filter(|(_, w)| !w.tasks.is_empty() && now_ms >= w.lease_expiry_ms())
-            .map(|(key, _)| key)
-            .collect();
-        for key in expired {
-            let worker = &self.workers[key];
-            let tasks: Vec<TaskKey> = worker
-                .tasks
-                .keys()
-                .copied()
-                .filter(|t| !self.is_unsent(*t))
-                .collect();
-            if tasks.is_empty() {
-                continue;
-            }
-            let why = worker.describe(now_ms);
-            self.record_decision(None, "lease ended", why);
-            self.count_crashes(&tasks, key, WorkerLoss::Silent);
-            for task in tasks {
-                self.lose_task(task, "the lease of its worker has ended", now_ms);
-            }
-        }
-    }
 }
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -103,6 +103,10 @@
     pub not_before_ms: u64,
     /// The worker on which a run of the task last failed, or which last refused its start.
     pub avoid: Option<WorkerKey>,
+    /// Whether the worker has listed the current run, so that the start was carried out by that incarnation.
+    pub is_listed: bool,
+    /// Whether a start of the current run got no answer; it may still be carried out.
+    pub start_in_doubt: bool,
 }
 
 impl Task {
@@ -123,6 +127,8 @@
             progressed_ms: 0,
             not_before_ms: 0,
             avoid: None,
+            is_listed: false,
+            start_in_doubt: false,
         }
     }
 
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -14,6 +14,8 @@
 mod headroom;
 mod health;
 mod job;
+mod listing;
+mod lives;
 mod maintenance;
 mod orders;
 mod outcomes;
@@ -44,5 +46,6 @@
 pub use spec::{JobRequest, Resources, SpecError, StepSpec, Timing};
 pub use task::{JobId, NameError, TaskName};
 pub use worker::{
-    ActiveRun, EndedRun, RenewalReport, RunOutcome, WorkerEntry, WorkerKey, WorkerList,
+    ActiveRun, EndedRun, LEASE_LENGTH_MARGIN_MS, RenewalReport, RunOutcome, WorkerEntry, WorkerKey,
+    WorkerList,
 };
--- a/crates/scheduler/src/orders.rs
+++ b/crates/scheduler/src/orders.rs
@@ -141,8 +141,16 @@
     pub writes: Vec<RecordWrite>,
     /// Starts that may be sent afterwards, with their run numbers.
     pub(crate) starts: Vec<(TaskKey, u32)>,
-    /// Numbers of ended runs that may be confirmed to workers afterwards.
-    pub(crate) ends: Vec<(WorkerKey, u64)>,
+    /// Ended runs that may be confirmed to workers afterwards.
+    pub(crate) ends: Vec<StoredEnds>,
+}
+
+/// The ended runs of one incarnation of a worker, up to a number.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct StoredEnds {
+    pub worker: WorkerKey,
+    pub born_unix_ms: u64,
+    pub number: u64,
 }
 
 impl Flush {
--- a/crates/scheduler/src/outcomes.rs
+++ b/crates/scheduler/src/outcomes.rs
@@ -34,17 +34,32 @@
                     worker,
                     unanswered: true,
                 };
+                task.start_in_doubt = true;
+                let placed_ms = task.placed_ms;
                 self.counts.unanswered += 1;
-                self.push_start(key, worker, true);
+                let restarted = self
+                    .workers
+                    .get(worker)
+                    .is_some_and(|w| placed_ms < w.restarted_ms);
+                match restarted {
+                    true => self.stop_start_before_restart(key, worker, now_ms),
+                    false => self.push_start(key, worker, true),
+                }
             }
             StartOutcome::OlderTerm => self.superseded = true,
-            StartOutcome::OtherLife => {
-                self.remove_incarnation(worker, "another id answered a start", now_ms)
-            }
             _ => self.handle_refused_start(key, worker, unanswered, outcome, now_ms),
         }
     }
 
+    /// Stops a run whose start got no answer and was sent before the worker restarted. The start may have crashed the
+    /// worker, so it is not sent again; the next incarnation may still carry it out.
+    fn stop_start_before_restart(&mut self, key: TaskKey, worker: WorkerKey, now_ms: u64) {
+        if let Some(loss) = self.workers.get(worker).and_then(|w| w.loss()) {
+            self.count_crashes(&[key], worker, loss);
+        }
+        self.push_stop(key, worker, false, now_ms);
+    }
+
     fn confirm_start(&mut self, key: TaskKey, worker: WorkerKey, received_ms: u64) {
         let Some(task) = self.task_mut(key) else {
             return;
@@ -101,6 +116,9 @@
             task.avoid = Some(worker);
             task.not_before_ms = now_ms + REFUSAL_BACKOFF_MS;
         }
+        if why == StartOutcome::OtherLife {
+            self.record_unanswered_renewal(worker);
+        }
         if why == StartOutcome::Unhealthy
             && let Some(worker) = self.workers.get_mut(worker)
         {
@@ -141,10 +159,8 @@
                 };
             }
             StopOutcome::OlderTerm => self.superseded = true,
-            StopOutcome::OtherLife => {
-                self.remove_incarnation(worker, "another id answered a stop", now_ms)
-            }
-            StopOutcome::NoAnswer => {
+            // The run may go on where the worker is.
+            StopOutcome::OtherLife | StopOutcome::NoAnswer => {
                 self.counts.unanswered += 1;
                 self.push_stop(key, worker, true, now_ms);
             }
--- a/crates/scheduler/src/planner.rs
+++ b/crates/scheduler/src/planner.rs
@@ -7,11 +7,11 @@
 use crate::configuration::Configuration;
 use crate::group::{GroupKey, JobKey, Phase, Task, TaskKey};
 use crate::job::Job;
-use crate::orders::{Flush, Order, RecordWrite};
+use crate::orders::{Flush, Order, RecordWrite, StoredEnds};
 use crate::spec::Resources;
 use crate::task::JobId;
 use crate::urgent::UrgentArrivals;
-use crate::worker::{Racks, Worker, WorkerKey};
+use crate::worker::{LEASE_EXPIRY_MARGIN_MS, Racks, Worker, WorkerKey};
 
 /// How long the id of an ended job is remembered. A read of all requests may still name the job for as long as that
 /// read takes: a second for each page, of which there are few.
@@ -68,6 +68,10 @@
     pub unanswered: u64,
     /// Jobs that were given up because a task crashed one worker after the other.
     pub given_up: u64,
+    /// Entries of the list that contradict what their worker itself has said.
+    pub entries_set_aside: u64,
+    /// Workers that answered as a later incarnation.
+    pub restarted: u64,
     /// Work discarded by preempted runs, in core-milliseconds.
     pub discarded_preempted_core_ms: u64,
     /// The same by runs of cancelled or failed jobs.
@@ -90,6 +94,8 @@
     /// Data centres whose workers get no new work because the operator evacuates them.
     pub(crate) evacuated: Vec<String>,
     pub(crate) by_id: HashMap<String, WorkerKey>,
+    /// The workers that answered at an address, to this planner or an earlier one.
+    pub(crate) by_address: HashMap<String, Vec<WorkerKey>>,
     pub(crate) jobs: SlotMap<JobKey, Job>,
     pub(crate) by_job: HashMap<JobId, JobKey>,
     pub(crate) orders: Vec<Order>,
@@ -101,6 +107,8 @@
     /// Whether anything changed since the last planning pass.
     pub(crate) changed: bool,
     pub(crate) inherited_expiry_ms: u64,
+    /// The same for a worker that an earlier planner knew to be leaving, whose lease it renewed only under a valid lead.
+    pub(crate) inherited_leaving_expiry_ms: u64,
     /// Ended jobs that were removed from memory and when, the oldest first.
     pub(crate) removed_jobs: VecDeque<(JobId, u64)>,
     /// A service whose workers run urgent work.
@@ -121,6 +129,7 @@
             racks: Racks::default(),
             evacuated: Vec::new(),
             by_id: HashMap::new(),
+            by_address: HashMap::new(),
             jobs: SlotMap::with_key(),
             by_job: HashMap::new(),
             orders: Vec::new(),
@@ -133,6 +142,9 @@
             inherited_expiry_ms: now_ms
                 + limits.predecessor_renewal_ms
                 + limits.lease_ms * 100 / 98,
+            inherited_leaving_expiry_ms: now_ms
+                + limits.lease_ms * 100 / 98
+                + LEASE_EXPIRY_MARGIN_MS,
             removed_jobs: VecDeque::new(),
             urgent_service: None,
             urgent: UrgentArrivals::default(),
@@ -231,7 +243,11 @@
             .workers
             .iter()
             .filter(|(_, w)| w.ends_seen > w.ends_stored)
-            .map(|(key, w)| (key, w.ends_seen))
+            .map(|(key, w)| StoredEnds {
+                worker: key,
+                born_unix_ms: w.entry.born_unix_ms,
+                number: w.ends_seen,
+            })
             .collect();
         Flush {
             writes,
@@ -260,9 +276,12 @@
         for (task, run) in flush.starts {
             self.send_start(task, run, now_ms);
         }
-        for (worker, number) in flush.ends {
-            if let Some(worker) = self.workers.get_mut(worker) {
-                worker.ends_stored = worker.ends_stored.max(number);
+        for ends in flush.ends {
+            // The next incarnation numbers its ends anew.
+            if let Some(worker) = self.workers.get_mut(ends.worker)
+                && worker.entry.born_unix_ms == ends.born_unix_ms
+            {
+                worker.ends_stored = worker.ends_stored.max(ends.number);
             }
         }
     }
@@ -396,6 +415,7 @@
         task.run = run;
         task.percent = 0;
         task.last_metric = 0;
+        (task.is_listed, task.start_in_doubt) = (false, false);
         (task.pace_percent, task.pace_set_ms) = (100, now_ms);
         task.since_ms = now_ms;
         task.placed_ms = now_ms;
--- a/crates/scheduler/src/restore.rs
+++ b/crates/scheduler/src/restore.rs
@@ -84,7 +84,7 @@
             let worker = task
                 .worker
                 .as_ref()
-                .and_then(|name| self.find_or_assume_worker(name, now_ms));
+                .map(|name| self.find_or_assume_worker(name, now_ms));
             if let Some(restored) = self.task_mut(key) {
                 restored.run = task.run;
                 restored.failed = task.failed;
@@ -115,8 +115,7 @@
                         now_ms,
                     );
                 }
-                (None, false) => self.count_crash_before_term(key, task.worker.as_ref()),
-                (None, true) => {}
+                (None, _) => {}
             }
         }
         // The earlier planner may have stopped in the middle of tearing down a gang.
@@ -130,41 +129,64 @@
         }
     }
 
-    /// Returns the stored incarnation of a worker; none if a later incarnation has replaced it. An unlisted one is
-    /// assumed to be alive at its stored address.
-    fn find_or_assume_worker(&mut self, stored: &StoredWorker, now_ms: u64) -> Option<WorkerKey> {
-        if let Some(key) = self.by_id.get(&stored.id).copied() {
-            let born_unix_ms = self.workers[key].entry.born_unix_ms;
-            if born_unix_ms == stored.born_unix_ms {
-                return Some(key);
+    /// Returns the worker of a stored incarnation. The incarnation is assumed to be alive at its stored address, whatever
+    /// the list says.
+    fn find_or_assume_worker(&mut self, stored: &StoredWorker, now_ms: u64) -> WorkerKey {
+        let key = match self.by_id.get(&stored.id).copied() {
+            Some(key) => key,
+            None => {
+                let key = self.add_worker(assumed_entry(stored), now_ms);
+                self.workers[key].listed = false;
+                key
             }
-            if born_unix_ms > stored.born_unix_ms {
-                return None;
+        };
+        let leaving_expiry_ms = self.inherited_leaving_expiry_ms;
+        let worker = &mut self.workers[key];
+        // Of two stored incarnations under one id, the earlier planner used the later one last.
+        if worker.is_confirmed && worker.entry.born_unix_ms >= stored.born_unix_ms {
+            return key;
+        }
+        let is_listed_so = worker.entry.born_unix_ms == stored.born_unix_ms
+            && worker.entry.address == stored.address;
+        if !is_listed_so {
+            worker.proposed = match worker.listed {
+                true => Some(worker.entry.clone()),
+                false => worker.proposed.take(),
+            };
+            worker.is_doubted = worker.listed;
+            worker.listed = false;
+            worker.unlisted_since_ms = now_ms;
+            worker.entry.born_unix_ms = stored.born_unix_ms;
+            worker.entry.leaving = stored.leaving;
+            if !stored.address.is_empty() {
+                worker.entry.address.clone_from(&stored.address);
             }
         }
-        let replaced = self.workers.values().any(|w| {
-            !stored.address.is_empty()
-                && w.entry.address == stored.address
-                && w.entry.born_unix_ms > stored.born_unix_ms
-        });
-        if replaced {
-            return None;
+        worker.is_confirmed = true;
+        if stored.leaving {
+            worker.inherited_expiry_ms = leaving_expiry_ms;
         }
-        let entry = WorkerEntry {
-            id: stored.id.clone(),
-            born_unix_ms: stored.born_unix_ms,
-            address: stored.address.clone(),
-            service: String::new(),
-            data_centre: String::new(),
-            leaving: stored.leaving,
-            remaining_ms: None,
-            capacity: Resources::default(),
-            labels: Vec::new(),
-            rack: String::new(),
-        };
-        let key = self.add_worker(entry, now_ms);
-        let worker = &mut self.workers[key];
-        worker.listed = false;
-        Some(key)
+        let address = worker.entry.address.clone();
+        let there = self.by_address.entry(address).or_default();
+        if !there.contains(&key) {
+            there.push(key);
+        }
+        key
+    }
+}
+
+/// Returns what is known of a stored worker that is not listed.
+fn assumed_entry(stored: &StoredWorker) -> WorkerEntry {
+    WorkerEntry {
+        id: stored.id.clone(),
+        born_unix_ms: stored.born_unix_ms,
+        address: stored.address.clone(),
+        service: String::new(),
+        data_centre: String::new(),
+        leaving: stored.leaving,
+        remaining_ms: None,
+        capacity: Resources::default(),
+        labels: Vec::new(),
+        rack: String::new(),
     }
 }
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -4,6 +4,7 @@
 
 use slotmap::new_key_type;
 
+use crate::crashes::WorkerLoss;
 use crate::group::TaskKey;
 use crate::health::Health;
 use crate::record::StoredWorker;
@@ -157,13 +158,28 @@
 /// The longest time between two answers of a worker that is up.
 const LONGEST_SILENCE_MS: u64 = 2_000;
 
+/// Length of the lease of a leaving worker. What it still runs when it leaves can start elsewhere once the lease has
+/// expired. It is renewed every half second, and bridges the change of a leader.
+pub(crate) const LEAVING_LEASE_MS: u64 = 5_000;
+
 /// Margin added to the time at which a lease must have expired, for rounding and the delay of an answer.
-const LEASE_EXPIRY_MARGIN_MS: u64 = 150;
+pub(crate) const LEASE_EXPIRY_MARGIN_MS: u64 = 150;
+
+/// How much longer than a lease of ours the longest lease is that a worker grants, in milliseconds.
+pub const LEASE_LENGTH_MARGIN_MS: u64 = 500;
 
-/// One incarnation of a worker, as the planner knows it.
+/// A worker, as the planner knows it: an id, and the incarnation of it that is in use.
 #[derive(Debug)]
 pub(crate) struct Worker {
+    /// Its listed properties. Incarnation and address are those of its own answers, once there are any.
     pub entry: WorkerEntry,
+    /// Whether the incarnation and the address are known from its own answers, to this planner or an earlier one.
+    pub is_confirmed: bool,
+    /// The entry in the newest list if it names another incarnation or address than the worker's own answers. Anybody
+    /// may have written it, so it only says what to ask.
+    pub proposed: Option<WorkerEntry>,
+    /// Whether the proposed entry has not been looked into yet.
+    pub is_doubted: bool,
     pub rack: RackKey,
     /// Whether the newest list of workers names it.
     pub listed: bool,
@@ -171,8 +187,10 @@
     pub unlisted_since_ms: u64,
     /// Whether the caller already has to renew its lease.
     pub polled: bool,
-    /// Whether it has answered in this planner's term; it refuses orders of earlier terms from then on.
+    /// Whether this incarnation has answered in this planner's term; it refuses orders of earlier terms from then on.
     pub fenced: bool,
+    /// When this incarnation first answered in the place of an earlier one, on the planner's clock; 0 if it replaced none.
+    pub restarted_ms: u64,
     /// The worker's clock, and when it was read on the planner's clock.
     pub clock: Option<(u64, u64)>,
     /// The latest end, on the worker's clock, of any lease that this planner has sent.
@@ -187,8 +205,6 @@
     pub draining: bool,
     /// Whether the last renewal got no usable answer.
     pub unresponsive: bool,
-    /// Whether the last renewal could not be delivered.
-    pub refused: bool,
     /// Ended runs up to this number are applied.
     pub ends_seen: u64,
     /// Ended runs up to this number are in the store.
@@ -212,11 +228,15 @@
     pub fn new(entry: WorkerEntry, rack: RackKey, now_ms: u64, inherited_expiry_ms: u64) -> Worker {
         Worker {
             entry,
+            is_confirmed: false,
+            proposed: None,
+            is_doubted: false,
             rack,
             listed: true,
             unlisted_since_ms: now_ms,
             polled: false,
             fenced: false,
+            restarted_ms: 0,
             clock: None,
             lease_end_clock_ms: 0,
             inherited_expiry_ms,
@@ -224,7 +244,6 @@
             leaves_at_ms: None,
             draining: false,
             unresponsive: false,
-            refused: false,
             ends_seen: 0,
             ends_stored: 0,
             used: Resources::default(),
@@ -253,12 +272,60 @@
         }
     }
 
+    /// Returns whether the next call may reach another incarnation: the last one got no answer, or the list names
+    /// another one.
+    pub fn may_have_restarted(&self) -> bool {
+        self.unresponsive
+            || self
+                .proposed
+                .as_ref()
+                .is_some_and(|entry| entry.born_unix_ms != self.entry.born_unix_ms)
+    }
+
     /// Returns whether it stopped answering, which it does at least every 2 s, before the announced time of its leave.
     pub fn fell_silent_early(&self) -> bool {
         self.leaves_at_ms
             .is_some_and(|leaves_at_ms| self.answered_ms + LONGEST_SILENCE_MS < leaves_at_ms)
     }
 
+    /// Returns how the worker counts as lost if it is gone now; none if it has left as announced.
+    pub fn loss(&self) -> Option<WorkerLoss> {
+        match self.entry.leaving || self.draining {
+            false => Some(WorkerLoss::Crashed),
+            true => self.fell_silent_early().then_some(WorkerLoss::Early),
+        }
+    }
+
+    /// Makes way for the next incarnation under the same id, which has answered. It knows nothing of the one before.
+    pub fn begin_incarnation(&mut self, born_unix_ms: u64, lease_ms: u64, report: &RenewalReport) {
+        match self.proposed.take() {
+            Some(entry) if entry.born_unix_ms == born_unix_ms => {
+                self.entry = entry;
+                self.listed = true;
+            }
+            other => {
+                self.proposed = other;
+                self.entry.born_unix_ms = born_unix_ms;
+                self.entry.leaving = false;
+                self.entry.remaining_ms = None;
+                self.listed = false;
+                self.unlisted_since_ms = report.received_ms;
+            }
+        }
+        self.fenced = false;
+        self.restarted_ms = report.received_ms;
+        self.clock = None;
+        // A start that was meant for the incarnation before names a time on that one's clock, which may lie far ahead.
+        self.lease_end_clock_ms = report.worker_clock_ms + lease_ms + LEASE_LENGTH_MARGIN_MS;
+        self.leaves_at_ms = None;
+        self.draining = false;
+        self.unresponsive = false;
+        (self.ends_seen, self.ends_stored) = (0, 0);
+        self.orphaned_runs.clear();
+        self.lost_in_silence.clear();
+        self.health = Health::default();
+    }
+
     /// Returns whether nothing runs there and no capacity is reserved.
     pub fn is_empty(&self) -> bool {
         self.tasks.is_empty()
--- a/crates/scheduler/tests/crashes.rs
+++ b/crates/scheduler/tests/crashes.rs
@@ -96,7 +96,7 @@
     assert_eq!(site.state(1), JobState::Completed);
 }
 
-/// Other tasks crash the workers just before the starts arrive there, so that none is answered.
+/// Other tasks crash the workers just before the starts arrive there, so that none is answered. Others take their places.
 #[test]
 fn keep_job_whose_starts_reach_crashed_workers() {
     let mut entries: Vec<WorkerEntry> = (0..8).map(entry).collect();
@@ -105,7 +105,10 @@
     harness.planner.add_job(stored, 1, harness.now_ms);
     for lost in 0..MAX_STARTS {
         for index in 0..harness.workers.len() {
-            harness.report(index, vec![], vec![]);
+            let worker = harness.planner.entry(harness.workers[index]);
+            if worker.is_some_and(|worker| entries.iter().any(|entry| entry.id == worker.id)) {
+                harness.report(index, vec![], vec![]);
+            }
         }
         let orders = harness.plan();
         assert_eq!(starts(&orders).len(), 1, "{lost} starts were lost");
@@ -115,6 +118,7 @@
         let id = worker.id.clone();
         for entry in entries.iter_mut().filter(|entry| entry.id == id) {
             entry.born_unix_ms += 1;
+            entry.id = format!("{id}-next");
         }
         harness.now_ms += AWAY_MS;
         harness.list(entries.clone());
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -117,6 +117,25 @@
         self.planner.apply_report(self.workers[index], &report);
     }
 
+    /// Applies the answer of an incarnation of a worker to a renewal that was sent just now.
+    pub fn report_as(
+        &mut self,
+        index: usize,
+        born_unix_ms: u64,
+        running: Vec<ActiveRun>,
+        ended: Vec<EndedRun>,
+    ) {
+        let report = RenewalReport {
+            sent_ms: self.now_ms,
+            received_ms: self.now_ms,
+            worker_clock_ms: 500_000 + self.now_ms,
+            born_unix_ms: Some(born_unix_ms),
+            running,
+            ended,
+        };
+        self.planner.apply_report(self.workers[index], &report);
+    }
+
     /// Runs a planning pass, completes its flush, and returns the orders that may be sent then.
     pub fn plan(&mut self) -> Vec<Order> {
         let (orders, flush) = self.plan_without_store();
