--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+pub mod silent_link;
 pub mod slow_link;
 
 use std::net::{SocketAddr, TcpListener};
@@ -67,6 +68,13 @@
 impl Site {
     /// Starts a site with one node, whose tasks take `run_for`.
     pub async fn start(workers: usize, run_for: Duration) -> Site {
+        let mut site = Site::start_without_nodes(workers, run_for).await;
+        site.add_node().await;
+        site
+    }
+
+    /// Starts a site without nodes, whose tasks take `run_for`.
+    pub async fn start_without_nodes(workers: usize, run_for: Duration) -> Site {
         let store = StoreStandIn::start().await.unwrap();
         let audit = Audit::default();
         let mut site = Site {
@@ -86,7 +94,6 @@
         }
         site.store
             .write("op/config", &platform_standin::configuration(1, &[KEY]));
-        site.add_node().await;
         site
     }
 
