Confirm ends only on connections on which the worker has answered

What callers saw: a task that was done ran again after its worker had restarted silently.

Cause: a repeated start first asks which incarnation is alive, on a new connection, and that renewal carried the confirmed number of the earlier incarnation. The next one numbers its ends anew, so it forgot ends that nobody had seen.

Change: a renewal on a new connection confirms nothing.

Measured: ends_of_next_incarnation_are_not_confirmed_unseen failed before, and holds in two runs of the whole file (12 of 12 each).

--- a/crates/control/src/lease_renewal.rs
+++ b/crates/control/src/lease_renewal.rs
@@ -123,7 +123,11 @@
     at_once: bool,
     new_connection: bool,
 ) -> Option<(String, Answer)> {
-    let (entry, renewal) = next_renewal(term, key, place, at_once)?;
+    let (entry, mut renewal) = next_renewal(term, key, place, at_once)?;
+    if new_connection {
+        // It may reach the next incarnation, which would forget ends of its own.
+        renewal.ends_confirmed = 0;
+    }
     let workers = &term.node.workers;
     let answer = workers
         .renew_lease(&entry, renewal, now_ms, new_connection)
