A soak on real processes: plan, links, faults, checks and stories

One seed draws faults and jobs. A site has a store, workers behind links and three nodes as separate processes. Links are cut silently one way or both, slow, reset or refused, or lose their far end as a machine that loses power. The checks read what callers and workers saw. A failure's story has the fault plan, the workers' notes and the lines of all nodes' logs about the job and its workers.

--- /dev/null
+++ b/crates/soak/src/lib.rs
@@ -0,0 +1,18 @@
+//! A soak of the real programs: plays sites of separate processes on loopback under faults drawn from a seed, and checks
+//! the promises by what callers, workers and the store saw.
+
+mod callers;
+mod check;
+mod faults;
+mod link;
+mod plan;
+mod play;
+mod process;
+mod site;
+mod story;
+
+pub use callers::{Asked, CallRecord, Confirmed};
+pub use check::{Broken, Observed};
+pub use plan::{Fault, FaultKind, Plan, PlannedJob};
+pub use play::{Outcome, PlayError, PlayOptions, play};
+pub use site::{Incident, Programs};
