--- a/crates/hemlockctl/src/main.rs
+++ b/crates/hemlockctl/src/main.rs
@@ -8,6 +8,7 @@
 mod output;
 mod query;
 mod request;
+mod soak;
 
 use std::process::ExitCode;
 
@@ -55,6 +56,11 @@
     Fault(fault::FaultArgs),
     /// Runs a benchmark: the policy and its baseline on the same generated load.
     Bench(bench::BenchArgs),
+    /// Plays sites of real processes under faults drawn from seeds, and checks the promises.
+    Soak(soak::SoakArgs),
+    /// Runs a process of the soak.
+    #[command(hide = true)]
+    SoakStandin,
 }
 
 fn main() -> ExitCode {
@@ -66,6 +72,8 @@
     let output = Output::new(json);
     let command = match command {
         Command::Bench(args) => return bench::run(&args, json),
+        Command::Soak(args) => return soak::run(&args),
+        Command::SoakStandin => return soak::run_standin(),
         other => other,
     };
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -99,7 +107,7 @@
         Command::History => query::run_statement(connection, output, "show history").await,
         Command::Status => query::run_statement(connection, output, "show nodes").await,
         Command::Fault(args) => fault::run(output, &args).await,
-        // `main` runs benchmarks itself, without a connection.
-        Command::Bench(_) => Ok(()),
+        // `main` runs these itself, without a connection.
+        Command::Bench(_) | Command::Soak(_) | Command::SoakStandin => Ok(()),
     }
 }
