Keep the progress of waves of maintenance in the store

What callers saw: after a change of the leader, a completed wave was carried out again. What ran on its machines was stopped, and their workers got nothing for the rest of the term (LOST). A wave with a cap below its number of machines stood still, since a machine that answers "done already" counted as down for ever. A worker whose machine was busy or not of the wave got no work any more.

Cause: each term began without the progress of waves, emptied a machine before it asked, and took the platform's 200, which also means "already done", for the end of the machine's worker. Nothing ever took `draining` back. A machine that one list lacked counted as gone.

Change: the progress of each machine is stored under `waves/N` with the lead and its own last write as preconditions, before its worker is emptied and after the answer. A successor reads `status/wave/N` and leaves a completed wave alone, leaves machines alone that had their maintenance, and repeats a stored order without emptying a worker that came since. Which workers stay empty follows from the stages of the waves: not those of busy machines, of machines that are not of the wave, of machines that cannot be ordered down for 3 s, or of machines that a list asked for 1 s after the answer shows up. A busy machine is ordered down again after a growing pause, one whose worker leaves is left out, and one that lists lack is asked for by its name.

--- a/crates/control/src/keys.rs
+++ b/crates/control/src/keys.rs
@@ -8,6 +8,7 @@
 //! | `q/c/ID` | empty; present if its caller cancelled the job | the node that receives the cancel | with `q/j/ID` |
 //! | `n/ID` | the job's queue, while nothing of it has begun | the node that accepts it | by the planner |
 //! | `peers/NODE` | where the node takes calls of its peers, and its processor | each node, under a lease | with the lease |
+//! | `waves/N` | the progress of each machine in a wave of maintenance | the planner, before it empties a machine and after it went down | never |
 //! | `r/ID` | the job's record: its state and groups | the planner | some time after the job's end |
 
 use scheduler::JobId;
@@ -32,6 +33,11 @@
 /// Addresses at which nodes take calls that their peers pass on.
 pub(crate) const PEERS_PREFIX: &str = "peers/";
 
+/// Returns the key of the progress of a wave of maintenance.
+pub(crate) fn wave(number: u64) -> String {
+    format!("waves/{number}")
+}
+
 /// Returns the key of a node's peer entry.
 pub(crate) fn peer(node: &str) -> String {
     format!("{PEERS_PREFIX}{node}")
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use control::{Listeners, Log, Settings};
-use platform_standin::{Audit, StoreStandIn, WorkerStandIn};
+use platform_standin::{Audit, MachinesStandIn, StoreStandIn, WorkerStandIn};
 use reqwest::{Client, Response};
 use serde_json::{Value, json};
 use tokio::sync::oneshot;
@@ -62,11 +62,34 @@
     pub audit: Audit,
     pub nodes: Vec<TestNode>,
     pub client: Client,
+    /// The service of machines, if the site has one.
+    pub machines: Option<MachinesStandIn>,
 }
 
 impl Site {
     /// Starts a site with one node, whose tasks take `run_for`.
     pub async fn start(workers: usize, run_for: Duration) -> Site {
+        let mut site = Site::start_without_nodes(workers, run_for).await;
+        site.add_node().await;
+        site
+    }
+
+    /// Starts a site with one node and a service of machines, whose maintenance takes `maintenance`.
+    pub async fn start_with_machines(
+        workers: usize,
+        run_for: Duration,
+        maintenance: Duration,
+    ) -> Site {
+        let mut site = Site::start_without_nodes(workers, run_for).await;
+        let (store, audit) = (site.store.clone(), site.audit.clone());
+        let machines =
+            MachinesStandIn::start(&site.workers, store, audit, run_for, maintenance).await;
+        site.machines = Some(machines.unwrap());
+        site.add_node().await;
+        site
+    }
+
+    async fn start_without_nodes(workers: usize, run_for: Duration) -> Site {
         let store = StoreStandIn::start().await.unwrap();
         let audit = Audit::default();
         let mut site = Site {
@@ -75,6 +98,7 @@
             audit,
             nodes: Vec::new(),
             client: Client::new(),
+            machines: None,
         };
         for number in 0..workers {
             let worker = WorkerStandIn::start(&format!("i-{number}"), run_for, site.audit.clone())
@@ -86,7 +110,6 @@
         }
         site.store
             .write("op/config", &platform_standin::configuration(1, &[KEY]));
-        site.add_node().await;
         site
     }
 
@@ -129,6 +152,7 @@
             "listen": {"callers": callers, "readiness": readiness, "metrics": metrics, "peers": peers, "own": own},
             "store": {"address": store, "shortest_lease_ms": 100},
             "orders": "rpc",
+            "machines": self.machines.as_ref().map(MachinesStandIn::address),
         });
         let settings = Settings::parse("test", &text.to_string()).unwrap();
         let (kill, killed) = oneshot::channel();
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -37,7 +37,10 @@
 pub use crashes::CrashCounts;
 pub use group::{GroupKey, TaskKey};
 pub use job::JobState;
-pub use maintenance::{Machine, MaintenanceOutcome, MaintenanceWave, WaveProgress};
+pub use maintenance::{
+    ChosenMachine, Machine, MachineProgress, MaintenanceOutcome, MaintenanceWave, WaveProgress,
+    WaveRecord,
+};
 pub use orders::{AdviceAnswer, Flush, Order, RecordWrite, StartOutcome, StopOutcome};
 pub use planner::{Decision, Limits, Planner, RunCounts};
 pub use record::{GroupRecord, JobRecord, StoredJob, StoredWorker, TaskRecord};
--- a/crates/scheduler/src/maintenance.rs
+++ b/crates/scheduler/src/maintenance.rs
@@ -1,6 +1,8 @@
 //! Maintenance waves: chooses the machines to take down next, never more at the same time than the wave allows.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+use serde::{Deserialize, Serialize};
 
 use crate::group::TaskKey;
 use crate::planner::Planner;
@@ -40,15 +42,76 @@
     NoSuchMachine,
     /// A later planner has given an order for the machine.
     OlderTerm,
+    /// The platform did nothing.
+    NotDone,
 }
 
+/// The stored progress of a machine in a wave.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum MachineProgress {
+    /// It is to be taken down, and the order may have been sent.
+    Requested {
+        /// The worker that was on it before.
+        worker: Option<String>,
+    },
+    /// Its maintenance has begun.
+    Begun {
+        /// The worker that was on it before.
+        worker: Option<String>,
+    },
+    /// It no longer exists, or it is not in the wave.
+    Gone,
+}
+
+/// The stored progress of a wave: of each machine that a planner has decided about.
+pub type WaveRecord = BTreeMap<String, MachineProgress>;
+
+/// A machine to be taken down now.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ChosenMachine {
+    /// Its name.
+    pub name: String,
+    /// The worker to be emptied before; none if the machine may have had its maintenance since it was last emptied.
+    pub drain: Option<String>,
+}
+
+/// How long after the answer to an order a list must have been asked for, to show that the machine is up again under
+/// the worker that it had.
+const LIST_DELAY_MS: u64 = 1_000;
+
+/// How long a machine must be missing in the list before it is asked for by name.
+const MISSING_MS: u64 = 2_000;
+
+/// How long a worker is kept empty while the order for its machine cannot be given.
+const CLOSED_AT_MOST_MS: u64 = 3_000;
+
+/// How long to wait before the order is given again after that, or after a machine was busy; doubles with each refusal.
+const RETRY_PAUSE_MS: u64 = 2_000;
+
+/// The most doublings of that pause.
+const MAX_DOUBLINGS: u32 = 3;
+
 /// The progress of a machine in a wave.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 enum Stage {
-    /// The call was sent; its outcome is unknown.
-    Requested,
-    /// The machine went down; `returned` if it is up again.
-    Begun { returned: bool },
+    /// It is to be taken down.
+    Requested {
+        worker: Option<String>,
+        /// Whether an order may have been carried out without an answer.
+        unanswered: bool,
+        /// Since when its worker gets no new work.
+        closed_ms: u64,
+        /// Its worker works on until then.
+        retry_ms: u64,
+    },
+    /// It was busy, and works on until then.
+    Postponed { until_ms: u64 },
+    /// Its maintenance has begun; `returned` if it is up again.
+    Begun {
+        worker: Option<String>,
+        answered_ms: u64,
+        returned: bool,
+    },
     /// The machine no longer exists, or it is not in the wave.
     Gone,
 }
@@ -58,107 +121,285 @@
 pub struct WaveProgress {
     wave: MaintenanceWave,
     stages: HashMap<String, Stage>,
-    /// The worker on each machine when it was taken down.
-    workers_before: HashMap<String, Option<String>>,
+    /// Since when the list has not named a machine.
+    missing_since_ms: HashMap<String, u64>,
+    /// How often a machine was busy.
+    refusals: HashMap<String, u32>,
 }
 
 impl WaveProgress {
-    /// Starts a wave without knowledge of its progress; machines that had their maintenance report so when they are
-    /// ordered down again.
-    pub fn new(wave: MaintenanceWave) -> WaveProgress {
+    /// Continues a wave from what earlier planners have stored; an order that they stored may have been carried out.
+    pub fn restore(wave: MaintenanceWave, record: WaveRecord, now_ms: u64) -> WaveProgress {
+        let stages = record.into_iter().map(|(name, progress)| {
+            let stage = match progress {
+                MachineProgress::Requested { worker } => Stage::Requested {
+                    worker,
+                    unanswered: true,
+                    closed_ms: now_ms,
+                    retry_ms: 0,
+                },
+                MachineProgress::Begun { worker } => Stage::Begun {
+                    worker,
+                    answered_ms: now_ms,
+                    returned: false,
+                },
+                MachineProgress::Gone => Stage::Gone,
+            };
+            (name, stage)
+        });
         WaveProgress {
+            stages: stages.collect(),
             wave,
-            stages: HashMap::new(),
-            workers_before: HashMap::new(),
+            missing_since_ms: HashMap::new(),
+            refusals: HashMap::new(),
         }
     }
 
+    /// Returns a wave that the store says is completed.
+    pub fn completed(wave: MaintenanceWave) -> WaveProgress {
+        let stage = Stage::Begun {
+            worker: None,
+            answered_ms: 0,
+            returned: true,
+        };
+        let stages = wave
+            .machines
+            .iter()
+            .map(|name| (name.clone(), stage.clone()));
+        WaveProgress {
+            stages: stages.collect(),
+            wave,
+            missing_since_ms: HashMap::new(),
+            refusals: HashMap::new(),
+        }
+    }
+
+    /// Applies the wave as the operator requests it now.
+    pub fn update(&mut self, wave: MaintenanceWave) {
+        self.wave = wave;
+    }
+
     /// Returns the wave as the operator requested it.
     pub fn wave(&self) -> &MaintenanceWave {
         &self.wave
     }
 
-    /// Applies the platform's list: a machine that is up again with another worker no longer counts as down.
-    pub fn apply_machine_list(&mut self, machines: &[Machine]) {
+    /// Returns the progress to store.
+    pub fn record(&self) -> WaveRecord {
+        self.stages
+            .iter()
+            .filter_map(|(name, stage)| {
+                let progress = match stage {
+                    Stage::Requested { worker, .. } => MachineProgress::Requested {
+                        worker: worker.clone(),
+                    },
+                    Stage::Begun { worker, .. } => MachineProgress::Begun {
+                        worker: worker.clone(),
+                    },
+                    Stage::Gone => MachineProgress::Gone,
+                    Stage::Postponed { .. } => return None,
+                };
+                Some((name.clone(), progress))
+            })
+            .collect()
+    }
+
+    /// Applies the platform's list, which was asked for at `asked_ms`: a machine that is up again no longer counts as
+    /// down. If its worker is the one that it had, it had its maintenance before the order.
+    pub fn apply_machine_list(&mut self, machines: &[Machine], asked_ms: u64) {
         let listed: HashMap<&str, &Machine> =
             machines.iter().map(|m| (m.name.as_str(), m)).collect();
         for name in &self.wave.machines {
-            match (self.stages.get(name), listed.get(name.as_str())) {
-                (_, None) if !machines.is_empty() => {
-                    self.stages.insert(name.clone(), Stage::Gone);
-                }
-                (Some(Stage::Begun { returned: false }), Some(machine))
-                    if machine.up && self.workers_before.get(name) != Some(&machine.worker) =>
-                {
-                    self.stages
-                        .insert(name.clone(), Stage::Begun { returned: true });
-                }
-                _ => {}
+            let Some(machine) = listed.get(name.as_str()) else {
+                self.missing_since_ms
+                    .entry(name.clone())
+                    .or_insert(asked_ms);
+                continue;
+            };
+            self.missing_since_ms.remove(name);
+            if let Some(Stage::Begun {
+                worker,
+                answered_ms,
+                returned,
+            }) = self.stages.get_mut(name)
+                && machine.up
+                && (*worker != machine.worker || asked_ms >= *answered_ms + LIST_DELAY_MS)
+            {
+                *returned = true;
             }
         }
     }
 
-    /// Returns the next machines to take down. A call whose outcome is unknown is repeated, and its machine counts as
-    /// down.
-    pub fn choose_machines(&mut self, machines: &[Machine]) -> Vec<String> {
-        let mut chosen: Vec<String> = self
-            .wave
-            .machines
-            .iter()
-            .filter(|m| self.stages.get(*m) == Some(&Stage::Requested))
-            .cloned()
-            .collect();
-        let known_down = |name: &str| machines.iter().any(|m| m.name == name && !m.up);
-        let down = |stage: Option<&Stage>, name: &str| match stage {
-            Some(Stage::Requested | Stage::Begun { returned: false }) => true,
-            Some(Stage::Gone | Stage::Begun { returned: true }) => false,
-            None => known_down(name),
-        };
-        let count = self
-            .wave
-            .machines
+    /// Returns the next machines to take down; their record has to be stored before anything is done. An order that may
+    /// have been carried out is repeated, and its machine counts as down. Machines whose worker leaves are left out.
+    pub fn choose_machines(
+        &mut self,
+        machines: &[Machine],
+        now_ms: u64,
+        is_leaving: impl Fn(&str) -> bool,
+    ) -> Vec<ChosenMachine> {
+        let listed: HashMap<&str, &Machine> =
+            machines.iter().map(|m| (m.name.as_str(), m)).collect();
+        let names = self.wave.machines.clone();
+        let mut chosen = Vec::new();
+        for name in &names {
+            chosen.extend(self.repeat_order(name, listed.get(name.as_str()).copied(), now_ms));
+        }
+        let down = names
             .iter()
-            .filter(|m| down(self.stages.get(*m), m))
-            .count();
-        let remaining = self.wave.most_down.saturating_sub(count);
-        let fresh: Vec<String> = self
-            .wave
-            .machines
+            .filter(|name| self.counts_as_down(name, listed.get(name.as_str()).copied()));
+        let remaining = self.wave.most_down.saturating_sub(down.count());
+        let fresh: Vec<&String> = names
             .iter()
-            .filter(|name| !self.stages.contains_key(*name))
-            .filter(|name| machines.iter().any(|m| &m.name == *name && m.up))
+            .filter(|name| match self.stages.get(*name) {
+                None => true,
+                Some(Stage::Postponed { until_ms }) => now_ms >= *until_ms,
+                Some(_) => false,
+            })
+            .filter(|name| match listed.get(name.as_str()) {
+                Some(machine) => machine.up && !machine.worker.as_deref().is_some_and(&is_leaving),
+                None => self.is_missing(name, now_ms),
+            })
             .take(remaining)
-            .cloned()
             .collect();
         for name in fresh {
-            let worker = machines
-                .iter()
-                .find(|m| m.name == name)
-                .and_then(|m| m.worker.clone());
-            self.workers_before.insert(name.clone(), worker);
-            self.stages.insert(name.clone(), Stage::Requested);
-            chosen.push(name);
+            let worker = listed.get(name.as_str()).and_then(|m| m.worker.clone());
+            chosen.push(ChosenMachine {
+                name: name.clone(),
+                drain: worker.clone(),
+            });
+            let stage = Stage::Requested {
+                worker,
+                unanswered: false,
+                closed_ms: now_ms,
+                retry_ms: 0,
+            };
+            self.stages.insert(name.clone(), stage);
         }
         chosen
     }
 
+    /// Returns a machine whose order has to be given again now.
+    fn repeat_order(
+        &mut self,
+        name: &str,
+        machine: Option<&Machine>,
+        now_ms: u64,
+    ) -> Option<ChosenMachine> {
+        if machine.is_none() && !self.is_missing(name, now_ms) {
+            return None;
+        }
+        let Stage::Requested {
+            worker,
+            unanswered,
+            closed_ms,
+            retry_ms,
+        } = self.stages.get_mut(name)?
+        else {
+            return None;
+        };
+        if now_ms < *retry_ms || !*unanswered && machine.is_some_and(|m| !m.up) {
+            return None;
+        }
+        if *retry_ms > 0 {
+            (*closed_ms, *retry_ms) = (now_ms, 0);
+        }
+        let current = machine.and_then(|m| m.worker.clone());
+        if !*unanswered {
+            worker.clone_from(&current);
+        }
+        Some(ChosenMachine {
+            name: name.to_string(),
+            drain: worker.clone().filter(|_| *worker == current),
+        })
+    }
+
+    /// Returns whether a machine counts towards the most that may be down.
+    fn counts_as_down(&self, name: &str, machine: Option<&Machine>) -> bool {
+        match self.stages.get(name) {
+            Some(
+                Stage::Requested { .. }
+                | Stage::Begun {
+                    returned: false, ..
+                },
+            ) => true,
+            Some(Stage::Gone | Stage::Begun { returned: true, .. }) => false,
+            Some(Stage::Postponed { .. }) | None => machine.is_some_and(|m| !m.up),
+        }
+    }
+
+    /// Returns whether the list has not named a machine for so long that it may no longer exist.
+    fn is_missing(&self, name: &str, now_ms: u64) -> bool {
+        self.missing_since_ms
+            .get(name)
+            .is_some_and(|since_ms| now_ms >= since_ms + MISSING_MS)
+    }
+
     /// Records the outcome of taking a machine down; none if the call was unanswered.
-    pub fn record_outcome(&mut self, machine: &str, outcome: Option<MaintenanceOutcome>) {
+    pub fn record_outcome(
+        &mut self,
+        machine: &str,
+        outcome: Option<MaintenanceOutcome>,
+        now_ms: u64,
+    ) {
+        let Some(Stage::Requested {
+            worker,
+            unanswered,
+            closed_ms,
+            retry_ms,
+        }) = self.stages.get_mut(machine)
+        else {
+            return;
+        };
         match outcome {
             Some(MaintenanceOutcome::Begun) => {
-                self.stages
-                    .insert(machine.to_string(), Stage::Begun { returned: false });
+                let stage = Stage::Begun {
+                    worker: worker.take(),
+                    answered_ms: now_ms,
+                    returned: false,
+                };
+                self.stages.insert(machine.to_string(), stage);
             }
             Some(MaintenanceOutcome::NoSuchMachine | MaintenanceOutcome::NotOfWave) => {
                 self.stages.insert(machine.to_string(), Stage::Gone);
             }
-            Some(MaintenanceOutcome::Busy) => {
-                self.stages.remove(machine);
+            Some(MaintenanceOutcome::Busy) if *unanswered => *retry_ms = now_ms + RETRY_PAUSE_MS,
+            Some(MaintenanceOutcome::Busy) => self.postpone(machine, now_ms),
+            Some(MaintenanceOutcome::OlderTerm) => {}
+            Some(MaintenanceOutcome::NotDone) | None => {
+                *unanswered |= outcome.is_none();
+                if now_ms >= *closed_ms + CLOSED_AT_MOST_MS {
+                    *retry_ms = now_ms + RETRY_PAUSE_MS;
+                }
             }
-            Some(MaintenanceOutcome::OlderTerm) | None => {}
         }
     }
 
+    fn postpone(&mut self, machine: &str, now_ms: u64) {
+        let refusals = self.refusals.entry(machine.to_string()).or_default();
+        let pause_ms = RETRY_PAUSE_MS << (*refusals).min(MAX_DOUBLINGS);
+        *refusals += 1;
+        let stage = Stage::Postponed {
+            until_ms: now_ms + pause_ms,
+        };
+        self.stages.insert(machine.to_string(), stage);
+    }
+
+    /// Returns the workers that get no new work for the sake of this wave.
+    pub fn closed_workers(&self, now_ms: u64) -> impl Iterator<Item = &str> {
+        self.stages.values().filter_map(move |stage| match stage {
+            Stage::Requested {
+                worker, retry_ms, ..
+            } if now_ms >= *retry_ms => worker.as_deref(),
+            Stage::Begun {
+                worker,
+                returned: false,
+                ..
+            } => worker.as_deref(),
+            _ => None,
+        })
+    }
+
     /// Returns whether every machine that still exists has begun its maintenance.
     pub fn is_completed(&self) -> bool {
         self.wave
@@ -191,4 +432,20 @@
             .get(key)
             .map_or(0, |w| w.tasks.len() + w.orphaned_runs.len())
     }
+
+    /// Lets all drained workers work again but those with these ids.
+    pub fn keep_draining(&mut self, ids: &HashSet<&str>) {
+        for worker in self.workers.values_mut().filter(|w| w.draining) {
+            if !ids.contains(worker.entry.id.as_str()) {
+                worker.draining = false;
+                self.changed = true;
+            }
+        }
+    }
+
+    /// Returns whether a worker has announced that it leaves.
+    pub fn is_leaving(&self, id: &str) -> bool {
+        let worker = self.by_id.get(id).and_then(|key| self.workers.get(*key));
+        worker.is_some_and(|worker| worker.entry.leaving)
+    }
 }
