--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -2,6 +2,7 @@
 
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use platform_standin::steady_ms;
@@ -88,7 +89,9 @@
 }
 
 fn scratch_folder(seed: u64) -> PathBuf {
-    let name = format!("hemlock-soak-{}-{seed}", std::process::id());
+    static PLAYS: AtomicU32 = AtomicU32::new(0);
+    let play = PLAYS.fetch_add(1, Ordering::SeqCst);
+    let name = format!("hemlock-soak-{}-{play}-{seed}", std::process::id());
     std::env::temp_dir().join(name)
 }
 
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::ffi::OsString;
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -15,6 +15,7 @@
     declared_queues, gang_folder, notes_file, read_notes, steady_ms, unix_ms,
 };
 use serde_json::{Value, json};
+use tokio::net::TcpSocket;
 use tokio::process::Command;
 use tokio::time::sleep;
 
@@ -135,7 +136,11 @@
         loop {
             self.next_port += 1;
             let address = SocketAddr::from((self.ip, self.next_port));
-            if TcpListener::bind(address).is_ok() {
+            // A socket that listened would be in the way for a moment if another thread forks just now.
+            let bound = TcpSocket::new_v4().is_ok_and(|socket| {
+                socket.set_reuseaddr(true).is_ok() && socket.bind(address).is_ok()
+            });
+            if bound {
                 return address;
             }
         }
