--- /dev/null
+++ b/crates/daemon/tests/soak.rs
@@ -0,0 +1,46 @@
+//! A short soak on real processes: nodes, a store and workers, under faults drawn from a fixed seed.
+//!
+//! Guards against promises that hold only without faults, or only within one process.
+
+use std::path::PathBuf;
+
+use rstest::rstest;
+use soak::{FaultKind, PlayOptions, Programs, play};
+
+/// Runs as a stand-in if a play started this program as one; else it does nothing.
+#[tokio::test]
+async fn standin_process() {
+    platform_standin::run_standin().await.unwrap();
+}
+
+fn options(kinds: &[FaultKind]) -> PlayOptions {
+    let own = std::env::current_exe().unwrap();
+    let arguments = ["--exact", "standin_process", "--nocapture"];
+    PlayOptions {
+        programs: Programs {
+            daemon: PathBuf::from(env!("CARGO_BIN_EXE_hemlockd")),
+            standin: std::iter::once(own.into_os_string())
+                .chain(arguments.iter().map(Into::into))
+                .collect(),
+        },
+        workers: 6,
+        faults_ms: 7_000,
+        mean_gap_ms: 900,
+        kinds: kinds.to_vec(),
+        stories: PathBuf::from(env!("CARGO_TARGET_TMPDIR")),
+        keep: false,
+    }
+}
+
+#[rstest]
+#[case::no_second_run_after_power_loss_under_one_id(9, &[FaultKind::PowerLoss])]
+#[case::no_second_run_while_leaving_worker_is_cut_off(4, &[FaultKind::WorkerLeavesCutOff])]
+#[case::no_second_run_for_entry_without_birth(2, &[FaultKind::EntryWithoutBirth])]
+#[case::all_kinds(1, &FaultKind::all())]
+#[case::all_kinds_again(3, &FaultKind::all())]
+#[tokio::test(flavor = "multi_thread")]
+async fn soak_holds(#[case] seed: u64, #[case] kinds: &[FaultKind]) {
+    let outcome = play(seed, &options(kinds)).await.unwrap();
+    assert!(outcome.starts > 0, "{outcome:?}");
+    assert!(outcome.broken.is_empty(), "{outcome:#?}");
+}
