--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -55,7 +55,7 @@
 struct Run {
     run: u64,
     worker: String,
-    life: u64,
+    incarnation: u64,
     late: bool,
     began_ms: u64,
     ended_ms: u64,
@@ -70,10 +70,10 @@
         let runs = open.entry(note.worker.clone()).or_default();
         match &note.event {
             WorkerEvent::Start { task, run, .. } => {
-                runs.insert((note.life, task, *run));
+                runs.insert((note.incarnation, task, *run));
             }
             WorkerEvent::End { task, run, .. } => {
-                runs.remove(&(note.life, task.as_str(), *run));
+                runs.remove(&(note.incarnation, task.as_str(), *run));
             }
             WorkerEvent::Killed => runs.clear(),
             _ => {}
@@ -90,15 +90,15 @@
     let mut killed: HashMap<&str, Vec<(u64, u64)>> = HashMap::new();
     for note in &observed.notes {
         if note.event == WorkerEvent::Killed {
-            // The life that is killed is the last that had begun.
-            let life = observed
+            // The incarnation that is killed is the last that had begun.
+            let incarnation = observed
                 .notes
                 .iter()
-                .filter(|n| n.worker == note.worker && n.at_ms <= note.at_ms && n.life > 0)
-                .map(|n| n.life)
+                .filter(|n| n.worker == note.worker && n.at_ms <= note.at_ms && n.incarnation > 0)
+                .map(|n| n.incarnation)
                 .max();
             let kills = killed.entry(&note.worker).or_default();
-            kills.push((life.unwrap_or(0), note.at_ms));
+            kills.push((incarnation.unwrap_or(0), note.at_ms));
         }
     }
     for note in &observed.notes {
@@ -110,12 +110,12 @@
                     .get(note.worker.as_str())
                     .into_iter()
                     .flatten()
-                    .find(|(life, _)| *life == note.life)
+                    .find(|(incarnation, _)| *incarnation == note.incarnation)
                     .map_or(observed.end_ms, |(_, at_ms)| *at_ms);
                 runs.entry(task.clone()).or_default().push(Run {
                     run: *run,
                     worker: note.worker.clone(),
-                    life: note.life,
+                    incarnation: note.incarnation,
                     late: *late,
                     began_ms: note.at_ms,
                     ended_ms: end_ms.max(note.at_ms),
@@ -130,7 +130,7 @@
             } => {
                 let open = runs.get_mut(task).into_iter().flatten().find(|r| {
                     r.run == *run
-                        && r.life == note.life
+                        && r.incarnation == note.incarnation
                         && r.worker == note.worker
                         && r.end.is_none()
                 });
@@ -182,7 +182,7 @@
     fn was_confirmed(&self, run: &Run, number: u64) -> bool {
         self.notes
             .iter()
-            .filter(|note| note.worker == run.worker && note.life == run.life)
+            .filter(|note| note.worker == run.worker && note.incarnation == run.incarnation)
             .skip_while(
                 |note| !matches!(&note.event, WorkerEvent::End { number: n, .. } if *n == number),
             )
@@ -338,7 +338,7 @@
                 .flat_map(|(task, runs)| runs.iter().map(move |run| (task, run)))
                 .find(|(_, run)| {
                     run.worker == note.worker
-                        && run.life == note.life
+                        && run.incarnation == note.incarnation
                         && run.began_ms > note.at_ms + DRAIN_MS
                         && !run.late
                         && self.is_calm_but_leaving(note, run.began_ms)
--- a/crates/soak/src/link.rs
+++ b/crates/soak/src/link.rs
@@ -209,7 +209,7 @@
                 // The near end hears nothing of its far end's loss of power.
                 return std::future::pending().await;
             }
-            // A machine that is back resets connections of its earlier life once something arrives on them.
+            // A machine that is back resets connections of its earlier incarnation once something arrives on them.
             return Err(io::ErrorKind::ConnectionReset.into());
         }
         match read? {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -49,7 +49,7 @@
     WorkerLinkSlow,
     /// The connections to a worker are reset.
     WorkerReset,
-    /// A worker refuses connections, but lives on.
+    /// A worker refuses connections, but stays up.
     WorkerRefuses,
     /// A worker process is stopped and goes on later.
     WorkerFreeze,
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -260,7 +260,7 @@
         })
     }
 
-    /// Starts a life of the worker of a place, under another id if `renamed`.
+    /// Starts an incarnation of the worker of a place, under another id if `renamed`.
     pub(crate) fn start_worker(&self, at: usize, seat: &mut Seat, renamed: bool) -> io::Result<()> {
         let place = &self.workers[at];
         if renamed {
@@ -294,7 +294,7 @@
         let note = Note {
             at_ms,
             worker: id.clone(),
-            life: 0,
+            incarnation: 0,
             event: WorkerEvent::Killed,
         };
         GangBoard::new(gang_folder(&self.folder), id).break_runs(at_ms);
--- a/crates/soak/src/story.rs
+++ b/crates/soak/src/story.rs
@@ -82,10 +82,13 @@
             _ => workers.contains(note.worker.as_str()) && near(note.at_ms),
         };
         if told {
-            let (worker, life) = (&note.worker, note.life);
+            let (worker, incarnation) = (&note.worker, note.incarnation);
             lines.push((
                 note.at_ms,
-                format!("worker {worker} life {life}: {:?}", note.event),
+                format!(
+                    "worker {worker} incarnation {incarnation}: {:?}",
+                    note.event
+                ),
             ));
         }
     }
