--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub use callers::{Asked, CallRecord, Confirmed};
 pub use check::{Broken, Observed};
+pub use link::{Link, LinkState};
 pub use plan::{Fault, FaultKind, Plan, PlannedJob};
 pub use play::{Outcome, PlayError, PlayOptions, play};
 pub use site::{Incident, Programs};
--- a/crates/soak/src/link.rs
+++ b/crates/soak/src/link.rs
@@ -29,19 +29,19 @@
 
 /// The state of a link. Counts allow for faults that overlap.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub(crate) struct LinkState {
+pub struct LinkState {
     /// Faults that hold up what goes to the far end.
-    pub(crate) to_cut: u32,
+    pub to_cut: u32,
     /// Faults that hold up what comes back.
-    pub(crate) back_cut: u32,
+    pub back_cut: u32,
     /// Faults that have connections refused; open ones go on.
-    pub(crate) refused: u32,
+    pub refused: u32,
     /// Delay of each piece, each way.
-    pub(crate) delay_ms: u64,
+    pub delay_ms: u64,
     /// How often the far end has lost power: older connections are dead.
-    pub(crate) power_losses: u32,
+    pub power_losses: u32,
     /// How often all connections were reset.
-    pub(crate) resets: u32,
+    pub resets: u32,
 }
 
 impl LinkState {
@@ -52,8 +52,9 @@
 
 /// A link to an address. Dropping it ends its connections.
 #[derive(Debug)]
-pub(crate) struct Link {
-    pub(crate) address: SocketAddr,
+pub struct Link {
+    /// Where it takes connections.
+    pub address: SocketAddr,
     state: watch::Sender<LinkState>,
     accepting: tokio::task::JoinHandle<()>,
 }
@@ -65,10 +66,11 @@
 }
 
 impl Link {
-    /// Opens a link at `address` to `target`.
-    pub(crate) fn open(address: SocketAddr, target: SocketAddr) -> io::Result<Link> {
+    /// Opens a link at `address`, or at a free port there if it names none, to `target`.
+    pub fn open(address: SocketAddr, target: SocketAddr) -> io::Result<Link> {
         let (state, watched) = watch::channel(LinkState::default());
         let listener = listen(address)?;
+        let address = listener.local_addr()?;
         let accepting = tokio::spawn(accept(listener, target, watched));
         Ok(Link {
             address,
@@ -78,7 +80,7 @@
     }
 
     /// Changes the state.
-    pub(crate) fn change(&self, change: impl FnOnce(&mut LinkState)) {
+    pub fn change(&self, change: impl FnOnce(&mut LinkState)) {
         self.state.send_modify(change);
     }
 }
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -78,21 +78,36 @@
     pub story: Option<PathBuf>,
 }
 
-/// Plays a seed. All processes that it started have ended when it returns or is dropped.
-pub async fn play(seed: u64, options: &PlayOptions) -> Result<Outcome, PlayError> {
-    let folder = scratch_folder(seed);
-    let result = play_in(&folder, seed, options).await;
-    if !options.keep {
-        std::fs::remove_dir_all(&folder)?;
+/// The folder of a play, which goes with it unless it is to stay.
+#[derive(Debug)]
+struct Scratch {
+    folder: PathBuf,
+    keep: bool,
+}
+
+impl Scratch {
+    fn new(seed: u64, keep: bool) -> Scratch {
+        static PLAYS: AtomicU32 = AtomicU32::new(0);
+        let play = PLAYS.fetch_add(1, Ordering::SeqCst);
+        let name = format!("hemlock-soak-{}-{play}-{seed}", std::process::id());
+        let folder = std::env::temp_dir().join(name);
+        Scratch { folder, keep }
     }
-    result
 }
 
-fn scratch_folder(seed: u64) -> PathBuf {
-    static PLAYS: AtomicU32 = AtomicU32::new(0);
-    let play = PLAYS.fetch_add(1, Ordering::SeqCst);
-    let name = format!("hemlock-soak-{}-{play}-{seed}", std::process::id());
-    std::env::temp_dir().join(name)
+impl Drop for Scratch {
+    fn drop(&mut self) {
+        if !self.keep {
+            // A play that could not start may have no folder.
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+/// Plays a seed. All processes that it started have ended when it returns or is dropped.
+pub async fn play(seed: u64, options: &PlayOptions) -> Result<Outcome, PlayError> {
+    let scratch = Scratch::new(seed, options.keep);
+    play_in(&scratch.folder, seed, options).await
 }
 
 async fn play_in(folder: &Path, seed: u64, options: &PlayOptions) -> Result<Outcome, PlayError> {
