--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -11,9 +11,6 @@
 use crate::plan::PlannedJob;
 use crate::site::{KEY, NODES, Site, lock};
 
-/// Attempts to hand a job in.
-const ATTEMPTS: usize = 5;
-
 /// Time between two attempts.
 const RETRY_GAP: Duration = Duration::from_millis(300);
 
@@ -136,7 +133,7 @@
 
     /// Hands a job in; returns whether it was accepted.
     async fn submit(&self, site: &Site, job: &PlannedJob) -> bool {
-        for attempt in 0..ATTEMPTS {
+        for attempt in 0..job.attempts {
             match self
                 .call(site, job.node + attempt, job.call(), Asked::Submit)
                 .await
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -18,6 +18,9 @@
 /// Longest time between two bursts of jobs, in milliseconds.
 const BURST_GAP_MS: u64 = 2_000;
 
+/// Most attempts of a caller to hand a job in.
+const MOST_ATTEMPTS: usize = 5;
+
 /// Probability that a burst goes on after a job.
 const BURST_GOES_ON: f64 = 0.75;
 
@@ -136,6 +139,8 @@
     pub steps: Vec<StepSpec>,
     /// The node that is asked first.
     pub node: usize,
+    /// How often its caller tries to hand it in.
+    pub attempts: usize,
     /// How long after its acceptance it is cancelled.
     pub cancel_after_ms: Option<u64>,
     /// How long after its acceptance it is handed in again.
@@ -219,11 +224,14 @@
             }
         })
         .collect();
+    let id = format!("{:016x}", random.random::<u64>());
+    let node = random.random_range(0..1_000);
     PlannedJob {
         at_ms,
-        id: format!("{:016x}", random.random::<u64>()),
+        id,
         steps,
-        node: random.random_range(0..1_000),
+        node,
+        attempts: 1 + node % MOST_ATTEMPTS,
         cancel_after_ms: random
             .random_bool(0.08)
             .then(|| random.random_range(0..4_000)),
