--- a/crates/scheduler/tests/support/live_site.rs
+++ b/crates/scheduler/tests/support/live_site.rs
@@ -201,8 +201,7 @@
         match self.find_receiver(&entry) {
             Receiver::Named(index) => {
                 let worker = &mut self.workers[index];
-                let lease_end_clock_ms = lease_end_clock_ms.unwrap_or(0);
-                worker.lease_end_clock_ms = worker.lease_end_clock_ms.max(lease_end_clock_ms);
+                worker.prolong_lease(lease_end_clock_ms.unwrap_or(0), now_ms);
                 worker.ended.retain(|ended| ended.number > confirmed);
                 let report = worker.report(now_ms, now_ms);
                 self.harness.planner.apply_report(key, &report);
@@ -307,7 +306,7 @@
         self.starts.push((*task, *run, entry.id.clone()));
         match self.find_receiver(&entry) {
             Receiver::Named(index) => {
-                match self.workers[index].start(*task, *run, lease_end_clock_ms) {
+                match self.workers[index].start(*task, *run, lease_end_clock_ms, now_ms) {
                     StartOutcome::Started { .. } => StartOutcome::Started {
                         received_ms: now_ms,
                     },
--- a/crates/scheduler/tests/support/live_worker.rs
+++ b/crates/scheduler/tests/support/live_worker.rs
@@ -10,6 +10,9 @@
 /// Speed of a worker's clock, in hundredths of true time.
 const CLOCK_RATE_PERCENT: u64 = 98;
 
+/// The longest lease that a worker grants, on its own clock.
+const LONGEST_LEASE_MS: u64 = 10_000;
+
 /// What a worker's clock shows at the start of an incarnation.
 const FIRST_CLOCK_MS: u64 = 1_000;
 
@@ -76,7 +79,7 @@
         }
     }
 
-    fn end(&mut self, active: ActiveRun, outcome: RunOutcome) {
+    pub fn end(&mut self, active: ActiveRun, outcome: RunOutcome) {
         self.last_end += 1;
         self.ended_runs.insert(active.task, active.run);
         self.ended.push(EndedRun {
@@ -95,9 +98,21 @@
         }
     }
 
-    pub fn start(&mut self, task: TaskName, run: u32, lease_end_clock_ms: u64) -> StartOutcome {
+    /// Prolongs its lease, up to the longest that it grants.
+    pub fn prolong_lease(&mut self, lease_end_clock_ms: u64, now_ms: u64) {
+        let granted = lease_end_clock_ms.min(self.clock_ms(now_ms) + LONGEST_LEASE_MS);
+        self.lease_end_clock_ms = self.lease_end_clock_ms.max(granted);
+    }
+
+    pub fn start(
+        &mut self,
+        task: TaskName,
+        run: u32,
+        lease_end_clock_ms: u64,
+        now_ms: u64,
+    ) -> StartOutcome {
         let highest_ended = self.ended_runs.get(&task).copied().unwrap_or(0);
-        self.lease_end_clock_ms = self.lease_end_clock_ms.max(lease_end_clock_ms);
+        self.prolong_lease(lease_end_clock_ms, now_ms);
         if !self.running.iter().any(|at| at.task == task) {
             if run <= highest_ended {
                 return StartOutcome::OldRun;
--- a/crates/scheduler/tests/worker_restarts.rs
+++ b/crates/scheduler/tests/worker_restarts.rs
@@ -129,6 +129,35 @@
     site.assert_runs_on(job.id, home);
 }
 
+/// The next life's clock begins anew, so that the lease in the start is as long there as a worker grants.
+#[rstest]
+#[case::answered(true)]
+#[case::unanswered(false)]
+fn start_that_next_life_has_taken_is_not_made_elsewhere_while_its_lease_lasts(
+    #[case] answered: bool,
+) {
+    let mut site = LiveSite::new(2);
+    site.play(LONGER_THAN_LEASE_MS);
+    let job = task_job(1);
+    // Nothing is answered for a while, as the renewals sent before the restart are not.
+    site.harness.now_ms += 2_500;
+    site.add(job.clone());
+    let orders = site.plan();
+    let home = site.find_worker(worker_of(&orders[0]));
+    site.workers[home].restart(site.harness.now_ms);
+    let outcome = match (site.send_start(&orders[0]), answered) {
+        (started, true) => started,
+        (_, false) => StartOutcome::NoAnswer,
+    };
+    site.harness.report_start_outcome(&orders[0], outcome);
+    assert_eq!(site.find_runs(job.id), vec![home]);
+    site.workers[home].reachable = false;
+    site.play(LONGER_THAN_LEASE_MS);
+    assert_eq!(site.twice, Vec::<TaskName>::new());
+    assert_eq!(site.runs_started(job.id), vec![1, 2]);
+    assert_eq!(site.find_runs(job.id), vec![1 - home]);
+}
+
 #[test]
 fn unanswered_start_that_next_life_does_not_list_is_stopped_first() {
     let mut site = LiveSite::new(2);
