--- a/crates/scheduler/src/spec.rs
+++ b/crates/scheduler/src/spec.rs
@@ -44,6 +44,16 @@
 }
 
 impl Resources {
+    /// The most of each resource that a worker can have or a task can need, so that sums over many do not overflow.
+    const MAX: i64 = 1_000_000_000;
+
+    /// Returns whether a worker can have, or a task can need, these resources.
+    pub fn is_valid(&self) -> bool {
+        [self.cpu_millis, self.memory_mb, self.accelerators]
+            .iter()
+            .all(|amount| (0..=Resources::MAX).contains(amount))
+    }
+
     /// Returns whether a task with these resources fits into the `available` ones.
     pub fn fits(&self, available: &Resources) -> bool {
         self.cpu_millis <= available.cpu_millis
