Check the needs of jobs, and check jobs again when they are read from the store

Rule LIMIT could break: a job with a negative need was accepted, and its runs made room for others that the worker does not have; needs near 2^63 overflowed the sums of guarantees. A job in the store that no node had checked, with 2^32 tasks or occurrences, ended the process that planned for want of memory.

--- a/crates/scheduler/src/spec.rs
+++ b/crates/scheduler/src/spec.rs
@@ -26,6 +26,9 @@
     /// The step depends on itself or on a later step.
     #[error("steps[{0}].after: {1} is not an earlier step")]
     After(usize, u32),
+    /// A task of the step needs less than nothing, or more than any worker has.
+    #[error("steps[{0}]: a task needs 0 to {max} of each resource", max = Resources::MAX)]
+    Need(usize),
     /// The text is too long.
     #[error("spec: longer than {MAX_TEXT_BYTES} bytes")]
     Text,
@@ -161,16 +164,33 @@
 
 /// A submitted job that passed the checks.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(try_from = "UncheckedRequest")]
 pub struct JobRequest {
     /// Text that each task gets unchanged.
     pub text: String,
     /// The steps to run.
     pub steps: Vec<StepSpec>,
     /// When to run them.
-    #[serde(default)]
     pub timing: Timing,
 }
 
+/// A request as stored, before it is checked.
+#[derive(Debug, Deserialize)]
+struct UncheckedRequest {
+    text: String,
+    steps: Vec<StepSpec>,
+    #[serde(default)]
+    timing: Timing,
+}
+
+impl TryFrom<UncheckedRequest> for JobRequest {
+    type Error = SpecError;
+
+    fn try_from(unchecked: UncheckedRequest) -> Result<JobRequest, SpecError> {
+        JobRequest::check(unchecked.text, unchecked.steps, unchecked.timing)
+    }
+}
+
 impl JobRequest {
     /// Checks the parts of a submission and builds the request.
     ///
@@ -190,6 +210,9 @@
             if step.count == 0 || step.count > MAX_TASKS_PER_STEP {
                 return Err(SpecError::Count(index));
             }
+            if !step.need.is_valid() {
+                return Err(SpecError::Need(index));
+            }
             if let Some(late) = step.after.iter().find(|after| **after as usize >= index) {
                 return Err(SpecError::After(index, *late));
             }
