Planning bears the highest estimates, goals and times that a caller can send

A caller's job with an estimate near 2^64 overflowed the products by which groups wait: built with checks, the planner's task ended on every node that took the lead, and no job was placed any more (LOST); without checks the slack wrapped to a small value. An occurrence due after the end of time wrapped to a time in the past and started at once (ORDER).

Such sums and products saturate now; the slack of a step is computed in one place.

--- a/crates/scheduler/src/discarded_work.rs
+++ b/crates/scheduler/src/discarded_work.rs
@@ -24,7 +24,10 @@
         };
         let cores_milli =
             step.need.cpu_millis + step.need.accelerators * CORES_PER_ACCELERATOR * 1000;
-        lost_ms as i64 * cores_milli / 1000
+        i64::try_from(lost_ms)
+            .unwrap_or(i64::MAX)
+            .saturating_mul(cores_milli)
+            / 1000
     }
 
     /// Counts the work that a run discards by ending early. Returns it, in core-milliseconds.
@@ -52,7 +55,7 @@
             }
             _ => &mut counts.discarded_lost_core_ms,
         };
-        *counter += work;
+        *counter = counter.saturating_add(work);
         work
     }
 }
--- a/crates/scheduler/src/headroom.rs
+++ b/crates/scheduler/src/headroom.rs
@@ -78,15 +78,12 @@
         let job = &self.jobs[group.job];
         let group_state = &job.groups[group.group as usize];
         let waited_ms = group_state.waited_ms(now_ms);
-        let estimate_ms = job.step_of(group.group as usize).estimate_ms;
-        let slack_ms = estimate_ms * u64::from(job.stored.stretch_percent.saturating_sub(100))
-            / 100
-            + job.stored.goal_ms;
+        let slack_ms = job.slack_ms(job.step_of(group.group as usize));
         let wait_percent = match job.stored.priority {
             0 | 1 => HEADROOM_WAIT_PERCENT,
             _ => LOW_PRIORITY_HEADROOM_WAIT_PERCENT,
         };
-        waited_ms > slack_ms * wait_percent / 100
+        waited_ms > slack_ms.saturating_mul(wait_percent) / 100
     }
 }
 
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -96,6 +96,13 @@
         }
     }
 
+    /// Returns how long a step can wait and still be on time, by the caller's estimate.
+    pub fn slack_ms(&self, step: &StepSpec) -> u64 {
+        let beyond_percent = u64::from(self.stored.stretch_percent.saturating_sub(100));
+        let stretch_ms = step.estimate_ms.saturating_mul(beyond_percent) / 100;
+        stretch_ms.saturating_add(self.stored.goal_ms)
+    }
+
     /// Returns the index of the group of an occurrence and step.
     pub fn find_group(&self, occurrence: u32, step: u32) -> Option<usize> {
         self.groups
--- a/crates/scheduler/src/preempt.rs
+++ b/crates/scheduler/src/preempt.rs
@@ -103,11 +103,7 @@
         if waited_ms >= reclaim_ms && self.is_guaranteed(group.job) {
             return i64::MAX;
         }
-        let stretch_ms =
-            step.estimate_ms * u64::from(job.stored.stretch_percent.saturating_sub(100)) / 100;
-        let slack_ms = (stretch_ms + job.stored.goal_ms)
-            .saturating_sub(stop_ms)
-            .max(1);
+        let slack_ms = job.slack_ms(step).saturating_sub(stop_ms).max(1);
         match waited_ms > slack_ms {
             true => MAX_LOSS_LATE_CORE_MS,
             false => MAX_LOSS_ON_TIME_CORE_MS,
@@ -226,7 +222,9 @@
             false => 1,
         };
         // The 1 gives each victim a cost: of two plans that discard nothing, the one with fewer victims wins.
-        self.unsaved_work(key, now_ms) * members + 1
+        self.unsaved_work(key, now_ms)
+            .saturating_mul(members)
+            .saturating_add(1)
     }
 }
 
@@ -248,7 +246,7 @@
             .min_by_key(|(index, more)| (sum_loss(more), candidates[*index].free.accelerators))?;
         for victim in &more {
             candidates[index].free += victim.resources;
-            plan.loss += victim.loss;
+            plan.loss = plan.loss.saturating_add(victim.loss);
             plan.victims.push(victim.task);
         }
         candidates[index].place(need);
@@ -258,7 +256,9 @@
 }
 
 fn sum_loss(victims: &[Victim]) -> i64 {
-    victims.iter().map(|victim| victim.loss).sum()
+    victims
+        .iter()
+        .fold(0, |sum: i64, victim| sum.saturating_add(victim.loss))
 }
 
 /// Returns the tasks to stop so that one more task fits on a candidate; none if it cannot fit.
--- a/crates/scheduler/src/schedule.rs
+++ b/crates/scheduler/src/schedule.rs
@@ -144,9 +144,8 @@
         let job = &self.jobs[group.job];
         let waited_ms =
             now_ms.saturating_sub(job.groups[group.group as usize].ready_ms.unwrap_or(now_ms));
-        waited_ms
-            > job.step_of(group.group as usize).estimate_ms
-                * self.limits.remote_slowdown.saturating_sub(1)
+        let estimate_ms = job.step_of(group.group as usize).estimate_ms;
+        waited_ms > estimate_ms.saturating_mul(self.limits.remote_slowdown.saturating_sub(1))
     }
 
     /// Places all tasks of a gang, or none.
--- a/crates/scheduler/src/spec.rs
+++ b/crates/scheduler/src/spec.rs
@@ -157,7 +157,9 @@
     pub fn due_unix_ms(&self, k: u32) -> u64 {
         match self.times {
             0 => 0,
-            _ => self.start_at_unix_ms + u64::from(k) * self.interval_ms,
+            _ => self
+                .start_at_unix_ms
+                .saturating_add(self.interval_ms.saturating_mul(u64::from(k))),
         }
     }
 }
