Planning bears the highest tail latency of a worker and the longest validity of a ticket

A rough figure in a worker's list (the fifth entry of a row) and the validity in an answer of the advice service are read from any JSON number; near 2^64 the planner's product and sum overflowed, which ended the task that renews that worker's lease, or wrapped to a ticket that had expired and was asked for again. Both saturate now.

--- a/crates/scheduler/src/advice.rs
+++ b/crates/scheduler/src/advice.rs
@@ -169,7 +169,7 @@
         for key in by_id.values() {
             tickets.verdicts.insert(*key, Verdict::Forbidden);
         }
-        let until_ms = answer.received_ms + answer.valid_ms;
+        let until_ms = answer.received_ms.saturating_add(answer.valid_ms);
         for (id, ticket) in answer.allowed {
             if let Some(key) = by_id.get(&id) {
                 tickets
--- a/crates/scheduler/src/pace.rs
+++ b/crates/scheduler/src/pace.rs
@@ -44,7 +44,8 @@
             .keys()
             .filter_map(|task| {
                 let target_ms = self.step(*task)?.latency_target_ms?;
-                Some(self.task(*task)?.last_metric * 100 / target_ms.max(1))
+                let tail_ms = self.task(*task)?.last_metric;
+                Some(tail_ms.saturating_mul(100) / target_ms.max(1))
             })
             .max()
     }
--- a/crates/scheduler/tests/extreme_figures.rs
+++ b/crates/scheduler/tests/extreme_figures.rs
@@ -6,7 +6,7 @@
 
 use rstest::rstest;
 use scheduler::prelude::*;
-use scheduler::{RunOutcome, Timing};
+use scheduler::{ActiveRun, Advice, AdviceAnswer, RunOutcome, Timing};
 use support::{Harness, entry, job, running, starts, step};
 
 /// Groups that wait for room compare how long they waited with their estimate, stretch and goal.
@@ -64,6 +64,69 @@
     assert_eq!(starts(&harness.plan()).len(), due);
 }
 
+#[test]
+fn highest_tail_latency_sets_wrong_pace() {
+    let mut harness = Harness::with_workers(1);
+    let serving = StepSpec {
+        lasting: true,
+        latency_target_ms: Some(100),
+        ..step(1, 1)
+    };
+    let filling = StepSpec {
+        fills: true,
+        ..step(1, 1)
+    };
+    for (id, priority, step) in [(1, 0, serving), (2, 2, filling)] {
+        harness
+            .planner
+            .add_job(job(id, priority, vec![step]), id, harness.now_ms);
+    }
+    let orders = harness.start_all();
+    harness.now_ms += 2_000;
+    let runs = orders
+        .iter()
+        .map(|order| ActiveRun {
+            metric: u64::MAX,
+            percent: u32::MAX,
+            ..running(order)
+        })
+        .collect();
+    harness.report(0, runs, vec![]);
+    let paces = harness.plan();
+    assert!(
+        matches!(paces.as_slice(), [Order::Pace { percent: 25, .. }]),
+        "{paces:?}"
+    );
+}
+
+#[test]
+fn ticket_valid_for_ever_counts_as_expired() {
+    let mut harness = Harness::with_workers(1);
+    let advice = Advice {
+        decide_ms: u64::MAX,
+        each_worker_ms: u64::MAX,
+        valid_ms: u64::MAX,
+    };
+    let stored = StoredJob {
+        advice: Some(advice),
+        ..job(1, 0, vec![step(1, 8)])
+    };
+    harness.planner.add_job(stored, 1, harness.now_ms);
+    let orders = harness.plan();
+    let [Order::Ask { group, workers, .. }] = orders.as_slice() else {
+        panic!("expected one advice query: {orders:?}")
+    };
+    let answer = AdviceAnswer {
+        allowed: vec![(workers[0].1.clone(), "ticket".to_string())],
+        valid_ms: u64::MAX,
+        received_ms: harness.now_ms,
+    };
+    harness
+        .planner
+        .apply_advice(*group, &[workers[0].0], Some(answer), harness.now_ms);
+    assert_eq!(starts(&harness.plan()).len(), 1);
+}
+
 /// Work is discarded when a run of the largest need that is accepted is lost after years.
 #[test]
 fn discarded_work_of_largest_run_ends_planning() {
