Planning bears the highest run number in a record

A record in the store with the run number 2^32 - 1, which only another writer leaves, overflowed the number of the next run: built with checks the planner's task ended on every node in turn, without them the next run had the number 0. It stays the highest now, and other jobs are planned.

Measured: both cases of highest_run_in_a_record_ends_planning failed before, by an overflow in schedule.rs.

--- a/crates/scheduler/src/schedule.rs
+++ b/crates/scheduler/src/schedule.rs
@@ -350,7 +350,8 @@
         }
         let gang = self.is_gang(group);
         let job = &mut self.jobs[group.job];
-        let shared_run = job.groups[group.group as usize].highest_run() + 1;
+        let highest_run = job.groups[group.group as usize].highest_run();
+        let shared_run = highest_run.saturating_add(1);
         if job.state == JobState::Pending {
             job.state = JobState::Running;
         }
@@ -376,7 +377,7 @@
             };
             let run = match (gang, self.task(key)) {
                 (true, _) => shared_run,
-                (false, Some(task)) => task.run + 1,
+                (false, Some(task)) => task.run.saturating_add(1),
                 (false, None) => continue,
             };
             self.assign(key, *worker, run, Phase::Assigned(*worker), now_ms);
--- a/crates/scheduler/tests/extreme_figures.rs
+++ b/crates/scheduler/tests/extreme_figures.rs
@@ -6,8 +6,8 @@
 
 use rstest::rstest;
 use scheduler::prelude::*;
-use scheduler::{ActiveRun, Advice, AdviceAnswer, RunOutcome, Timing};
-use support::{Harness, entry, job, running, starts, step};
+use scheduler::{ActiveRun, Advice, AdviceAnswer, RunOutcome, StoredWorker, TaskRecord, Timing};
+use support::{Harness, entry, job, limits, running, starts, step};
 
 /// Groups that wait for room compare how long they waited with their estimate, stretch and goal.
 #[rstest]
@@ -127,6 +127,40 @@
     assert_eq!(starts(&harness.plan()).len(), 1);
 }
 
+/// A record of another writer may name the highest run; the planning of other jobs goes on.
+#[rstest]
+fn highest_run_in_a_record_ends_planning(#[values(false, true)] gang: bool) {
+    let mut harness = Harness::with_workers(1);
+    let stored = job(1, 1, vec![StepSpec { gang, ..step(2, 1) }]);
+    harness.planner.add_job(stored.clone(), 1, harness.now_ms);
+    let (_, flush) = harness.plan_without_store();
+    let mut record = flush.writes[0].record.clone();
+    for task in &mut record.groups[0].units {
+        *task = TaskRecord {
+            run: u32::MAX,
+            worker: Some(StoredWorker {
+                id: "i-0".to_string(),
+                born_unix_ms: entry(0).born_unix_ms,
+                address: entry(0).address,
+                leaving: false,
+            }),
+            ..TaskRecord::default()
+        };
+    }
+    let mut next = Harness {
+        planner: Planner::new(limits(), 20_000),
+        now_ms: 20_000,
+        workers: Vec::new(),
+    };
+    next.list(vec![entry(0)]);
+    next.planner
+        .restore_job(stored, Some(record), 1, next.now_ms);
+    next.planner
+        .add_job(job(2, 1, vec![step(1, 1)]), 2, next.now_ms);
+    next.report(0, vec![], vec![]);
+    assert!(starts(&next.plan()).contains(&(format!("{:016x}.0.0.0", 2), 1)));
+}
+
 /// Work is discarded when a run of the largest need that is accepted is lost after years.
 #[test]
 fn discarded_work_of_largest_run_ends_planning() {
