--- a/crates/scheduler/src/schedule.rs
+++ b/crates/scheduler/src/schedule.rs
@@ -144,9 +144,8 @@
         let job = &self.jobs[group.job];
         let waited_ms =
             now_ms.saturating_sub(job.groups[group.group as usize].ready_ms.unwrap_or(now_ms));
-        waited_ms
-            > job.step_of(group.group as usize).estimate_ms
-                * self.limits.remote_slowdown.saturating_sub(1)
+        let estimate_ms = job.step_of(group.group as usize).estimate_ms;
+        waited_ms > estimate_ms.saturating_mul(self.limits.remote_slowdown.saturating_sub(1))
     }
 
     /// Places all tasks of a gang, or none.
@@ -351,7 +350,8 @@
         }
         let gang = self.is_gang(group);
         let job = &mut self.jobs[group.job];
-        let shared_run = job.groups[group.group as usize].highest_run() + 1;
+        let highest_run = job.groups[group.group as usize].highest_run();
+        let shared_run = highest_run.saturating_add(1);
         if job.state == JobState::Pending {
             job.state = JobState::Running;
         }
@@ -377,7 +377,7 @@
             };
             let run = match (gang, self.task(key)) {
                 (true, _) => shared_run,
-                (false, Some(task)) => task.run + 1,
+                (false, Some(task)) => task.run.saturating_add(1),
                 (false, None) => continue,
             };
             self.assign(key, *worker, run, Phase::Assigned(*worker), now_ms);
--- a/crates/scheduler/src/spec.rs
+++ b/crates/scheduler/src/spec.rs
@@ -26,6 +26,9 @@
     /// The step depends on itself or on a later step.
     #[error("steps[{0}].after: {1} is not an earlier step")]
     After(usize, u32),
+    /// A task of the step needs less than nothing, or more than any worker has.
+    #[error("steps[{0}]: a task needs 0 to {max} of each resource", max = Resources::MAX)]
+    Need(usize),
     /// The text is too long.
     #[error("spec: longer than {MAX_TEXT_BYTES} bytes")]
     Text,
@@ -44,6 +47,16 @@
 }
 
 impl Resources {
+    /// The most of each resource that a worker can have or a task can need, so that sums over many do not overflow.
+    const MAX: i64 = 1_000_000_000;
+
+    /// Returns whether a worker can have, or a task can need, these resources.
+    pub fn is_valid(&self) -> bool {
+        [self.cpu_millis, self.memory_mb, self.accelerators]
+            .iter()
+            .all(|amount| (0..=Resources::MAX).contains(amount))
+    }
+
     /// Returns whether a task with these resources fits into the `available` ones.
     pub fn fits(&self, available: &Resources) -> bool {
         self.cpu_millis <= available.cpu_millis
@@ -144,23 +157,42 @@
     pub fn due_unix_ms(&self, k: u32) -> u64 {
         match self.times {
             0 => 0,
-            _ => self.start_at_unix_ms + u64::from(k) * self.interval_ms,
+            _ => self
+                .start_at_unix_ms
+                .saturating_add(self.interval_ms.saturating_mul(u64::from(k))),
         }
     }
 }
 
 /// A submitted job that passed the checks.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(try_from = "UncheckedRequest")]
 pub struct JobRequest {
     /// Text that each task gets unchanged.
     pub text: String,
     /// The steps to run.
     pub steps: Vec<StepSpec>,
     /// When to run them.
-    #[serde(default)]
     pub timing: Timing,
 }
 
+/// A request as stored, before it is checked.
+#[derive(Debug, Deserialize)]
+struct UncheckedRequest {
+    text: String,
+    steps: Vec<StepSpec>,
+    #[serde(default)]
+    timing: Timing,
+}
+
+impl TryFrom<UncheckedRequest> for JobRequest {
+    type Error = SpecError;
+
+    fn try_from(unchecked: UncheckedRequest) -> Result<JobRequest, SpecError> {
+        JobRequest::check(unchecked.text, unchecked.steps, unchecked.timing)
+    }
+}
+
 impl JobRequest {
     /// Checks the parts of a submission and builds the request.
     ///
@@ -180,6 +212,9 @@
             if step.count == 0 || step.count > MAX_TASKS_PER_STEP {
                 return Err(SpecError::Count(index));
             }
+            if !step.need.is_valid() {
+                return Err(SpecError::Need(index));
+            }
             if let Some(late) = step.after.iter().find(|after| **after as usize >= index) {
                 return Err(SpecError::After(index, *late));
             }
