Withhold workers only while capacity is scarce or becomes free soon

Cause: a preemption that would discard too much is not carried out, but the planner kept all its places from other work, in each pass, without a look at when the runs in the way end and without a bound.

Change: the places are withheld while at least half of the service is in use and the group would still be worth something (three times the time within which it would be on time); otherwise for at most `reclaim_ms`, and only where the runs in the way are expected to end by then, for a gang all places or none. Guaranteed work is not affected: it stops what is in its way.

--- a/crates/scheduler/src/preempt.rs
+++ b/crates/scheduler/src/preempt.rs
@@ -1,6 +1,6 @@
 //! Preempts the work that loses least so that urgent work (priority 0) can start.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use crate::fit::{Candidate, split_by_rack};
 use crate::group::{GroupKey, JobKey, Phase, TaskKey};
@@ -26,6 +26,9 @@
 /// Part of the reclaim time of a guaranteed job that is reserved for repeating a start.
 const RECLAIM_MARGIN_MS: u64 = 800;
 
+/// Urgent work is worth less once it is late, and nothing once it took this many times as long as it may and be on time.
+const WORTHWHILE_FACTOR: u64 = 3;
+
 /// A task that can be stopped, and the core-milliseconds that this discards.
 #[derive(Debug, Clone, Copy)]
 struct Victim {
@@ -44,7 +47,8 @@
 
 impl Planner {
     /// Preempts other work for an urgent group that found no free capacity. If that would discard more work than is
-    /// acceptable now, stops nothing and returns the workers to be withheld from other work, since runs end there soon.
+    /// acceptable now, stops nothing and returns the workers of those tasks whose capacity is to be withheld from other
+    /// work.
     pub(crate) fn preempt_for_group(&mut self, group: GroupKey, now_ms: u64) -> Vec<WorkerKey> {
         let Some(job) = self.jobs.get(group.job) else {
             return Vec::new();
@@ -70,7 +74,7 @@
         };
         let waited_ms = now_ms.saturating_sub(group_state.ready_ms.unwrap_or(now_ms));
         if plan.loss > self.max_acceptable_loss(group, waited_ms) {
-            return plan.places;
+            return self.choose_withheld(group, plan, waited_ms, now_ms);
         }
         let id = job.stored.id;
         let why = format!(
@@ -89,6 +93,74 @@
         Vec::new()
     }
 
+    /// Returns the places of a plan that is not carried out that are worth withholding from other work: while the
+    /// service's capacity is scarce, all of them for as long as the group is worth more if it starts; otherwise those
+    /// where the runs in the way end before guaranteed work would have to start, for a gang all or none.
+    fn choose_withheld(
+        &self,
+        group: GroupKey,
+        plan: PreemptionPlan,
+        waited_ms: u64,
+        now_ms: u64,
+    ) -> Vec<WorkerKey> {
+        if waited_ms <= self.worthwhile_wait_ms(group) && self.is_half_used(group) {
+            return plan.places;
+        }
+        let Some(left_ms) = self.limits.reclaim_ms.checked_sub(waited_ms) else {
+            return Vec::new();
+        };
+        let occupied: HashSet<WorkerKey> = plan
+            .victims
+            .iter()
+            .filter(|victim| {
+                self.expected_end_ms(**victim, now_ms)
+                    .is_none_or(|end_ms| end_ms > now_ms + left_ms)
+            })
+            .filter_map(|victim| self.task(*victim)?.phase.worker())
+            .collect();
+        if self.is_gang(group) && !occupied.is_empty() {
+            return Vec::new();
+        }
+        let mut places = plan.places;
+        places.retain(|worker| !occupied.contains(worker));
+        places
+    }
+
+    /// Returns how long a group can wait and still be worth something: up to [`WORTHWHILE_FACTOR`] times the time within
+    /// which it would be on time.
+    fn worthwhile_wait_ms(&self, group: GroupKey) -> u64 {
+        let job = &self.jobs[group.job];
+        let estimate_ms = job.step_of(group.group as usize).estimate_ms;
+        let on_time_ms =
+            estimate_ms * u64::from(job.stored.stretch_percent) / 100 + job.stored.goal_ms;
+        (on_time_ms * WORTHWHILE_FACTOR).saturating_sub(estimate_ms)
+    }
+
+    /// Returns whether at least half of the accelerators of a group's service are in use, or of its cores if it has no
+    /// accelerators.
+    fn is_half_used(&self, group: GroupKey) -> bool {
+        let service = &self.jobs[group.job].stored.service;
+        let workers = self.workers.values();
+        let (used, capacity) = workers
+            .filter(|w| w.listed && w.entry.service == *service)
+            .fold((Resources::default(), Resources::default()), |sum, w| {
+                (sum.0 + w.used, sum.1 + w.entry.capacity)
+            });
+        match capacity.accelerators {
+            0 => 2 * used.cpu_millis >= capacity.cpu_millis,
+            accelerators => 2 * used.accelerators >= accelerators,
+        }
+    }
+
+    /// Returns when the current run of a task is expected to end, now if it is overdue; none if it lasts.
+    fn expected_end_ms(&self, key: TaskKey, now_ms: u64) -> Option<u64> {
+        let step = self.jobs[key.group.job].step_of(key.group.group as usize);
+        let task = self.task(key).filter(|_| !step.lasting)?;
+        let left_ms = step.estimate_ms * u64::from(100_u32.saturating_sub(task.percent)) / 100;
+        let since_ms = task.progressed_ms.max(task.began_ms());
+        Some((since_ms + left_ms).max(now_ms))
+    }
+
     /// Returns the most work, in core-milliseconds, that may be discarded so that a group starts now. It is higher
     /// while the group can still be on time, counting the time of the stops, and unbounded when the guarantee of its
     /// organisation would be broken otherwise.
