Reserve headroom in half of the capacity at most

What callers would see: on a site with few workers left, the capacity that is kept free for urgent work that may come is all there is.

Cause: headroom was reserved wherever it fitted, without regard to what is left for other work.

Change: the tasks that headroom is reserved for, and tasks stopped for, fit into half of the service's capacity.

--- a/crates/scheduler/src/headroom.rs
+++ b/crates/scheduler/src/headroom.rs
@@ -6,7 +6,7 @@
 
 use slotmap::SecondaryMap;
 
-use crate::fit::{Candidate, find_best_candidate, split_by_rack};
+use crate::fit::{Candidate, count_fitting_tasks, find_best_candidate, split_by_rack};
 use crate::group::GroupKey;
 use crate::planner::Planner;
 use crate::spec::Resources;
@@ -29,8 +29,12 @@
         let size = &size;
         let mut candidates = self.list_headroom_candidates(size, now_ms);
         let mut reserved: SecondaryMap<WorkerKey, Resources> = SecondaryMap::new();
+        let mut left = self.max_headroom_tasks(size);
         for _ in 0..group_count {
-            for worker in find_headroom_places(&candidates, size) {
+            let mut places = find_headroom_places(&candidates, size);
+            places.truncate(left);
+            left -= places.len();
+            for worker in places {
                 if let Some(entry) = reserved.entry(worker) {
                     *entry.or_default() += size.need;
                 }
@@ -45,6 +49,26 @@
         reserved
     }
 
+    /// Returns the most tasks of expected groups that headroom is reserved for: those that fit into half of the service's
+    /// capacity, so that other work can use the other half.
+    pub(crate) fn max_headroom_tasks(&self, size: &UrgentArrival) -> usize {
+        let total = self.service_capacity(&size.service);
+        let half = Resources {
+            cpu_millis: total.cpu_millis / 2,
+            memory_mb: total.memory_mb / 2,
+            accelerators: total.accelerators / 2,
+        };
+        count_fitting_tasks(&half, &size.need)
+    }
+
+    /// Returns the capacity of all listed workers of a service.
+    pub(crate) fn service_capacity(&self, service: &str) -> Resources {
+        let workers = self.workers.values();
+        workers
+            .filter(|w| w.listed && w.entry.service == service)
+            .fold(Resources::default(), |sum, w| sum + w.entry.capacity)
+    }
+
     /// Returns the workers on which headroom is reserved, with their current free capacity, in the order of their racks.
     pub(crate) fn list_headroom_candidates(
         &self,
--- a/crates/scheduler/src/preempt.rs
+++ b/crates/scheduler/src/preempt.rs
@@ -140,12 +140,11 @@
     /// accelerators.
     fn is_half_used(&self, group: GroupKey) -> bool {
         let service = &self.jobs[group.job].stored.service;
+        let capacity = self.service_capacity(service);
         let workers = self.workers.values();
-        let (used, capacity) = workers
+        let used = workers
             .filter(|w| w.listed && w.entry.service == *service)
-            .fold((Resources::default(), Resources::default()), |sum, w| {
-                (sum.0 + w.used, sum.1 + w.entry.capacity)
-            });
+            .fold(Resources::default(), |sum, w| sum + w.used);
         match capacity.accelerators {
             0 => 2 * used.cpu_millis >= capacity.cpu_millis,
             accelerators => 2 * used.accelerators >= accelerators,
--- a/crates/scheduler/src/refill.rs
+++ b/crates/scheduler/src/refill.rs
@@ -47,7 +47,8 @@
         }
         let victims = self.list_cheap_victims(&candidates, now_ms);
         let mut stopped: Vec<TaskKey> = Vec::new();
-        for _ in 0..group_count {
+        let most = self.max_headroom_tasks(&size) / size.count.max(1);
+        for _ in 0..group_count.min(most) {
             let free = find_places_on_one_rack(&candidates, &size.need, size.count);
             let refill = match free {
                 Some(places) => Some(RefillPlan {
--- a/crates/scheduler/tests/headroom.rs
+++ b/crates/scheduler/tests/headroom.rs
@@ -256,6 +256,31 @@
     assert_eq!(starts(&harness.plan()).len(), started);
 }
 
+/// On a site with few workers the expected urgent groups could hold all of them, with nothing running.
+#[rstest]
+#[case::one_worker(1, 4)]
+#[case::two_workers(2, 8)]
+fn headroom_leaves_half_of_small_site_to_other_work(#[case] workers: u32, #[case] started: usize) {
+    let mut harness = Harness::with_workers(workers);
+    harness.planner.set_configuration(&Configuration {
+        version: 1,
+        queues: vec![queue(0)],
+        services: Vec::new(),
+        organisations: Vec::new(),
+        limits: BodyLimits { body_bytes: 1 },
+    });
+    let other = StepSpec {
+        estimate_ms: OTHER_MS,
+        ..step(64, 1)
+    };
+    let stored = StoredJob {
+        stretch_percent: 600,
+        ..job(1, 2, vec![other])
+    };
+    harness.planner.add_job(stored, 1, harness.now_ms);
+    assert_eq!(starts(&harness.plan()).len(), started);
+}
+
 #[rstest]
 #[case::saves_its_progress(true, 2, 32)]
 #[case::would_lose_its_work(false, 2, 0)]
