Wait for a start to be sent before its lease counts

Cause: the lease of a start is counted from its sending, no longer from its dispatch. A worker on which nothing runs has no lease, so a planning pass that came in between counted the task as lost with its worker, five times in 0.1 s, and gave the job up.

Change: a start to which no lease was granted yet counts as unsent.

Measured: start_that_is_not_sent_yet_is_not_lost_with_its_worker failed before; all tests of the package hold.

--- a/crates/scheduler/src/lives.rs
+++ b/crates/scheduler/src/lives.rs
@@ -253,7 +253,7 @@
                 .tasks
                 .keys()
                 .copied()
-                .filter(|t| !self.is_unsent(*t))
+                .filter(|t| !self.is_unsent(*t, worker.granted_ms))
                 .filter(|t| is_unlisted_over || self.is_listed_or_inherited(*t))
                 .collect();
             if tasks.is_empty() {
@@ -281,8 +281,12 @@
             .is_some_and(|task| task.is_listed || matches!(task.phase, Phase::Inherited(_)))
     }
 
-    /// Returns whether a task is assigned to a worker and no order was sent yet.
-    fn is_unsent(&self, key: TaskKey) -> bool {
-        matches!(self.task(key).map(|t| t.phase), Some(Phase::Assigned(_)))
+    /// Returns whether a task is assigned to a worker to which no start of it was sent yet: a start carries a lease.
+    fn is_unsent(&self, key: TaskKey, granted_ms: u64) -> bool {
+        self.task(key).is_some_and(|task| match task.phase {
+            Phase::Assigned(_) => true,
+            Phase::Starting { unanswered, .. } => !unanswered && granted_ms < task.placed_ms,
+            _ => false,
+        })
     }
 }
--- a/crates/scheduler/tests/running.rs
+++ b/crates/scheduler/tests/running.rs
@@ -380,3 +380,22 @@
     harness.planner.add_job(stored, 1, harness.now_ms);
     assert!(starts(&harness.plan()).is_empty(), "it ran already");
 }
+
+/// A worker on which nothing runs has no lease, and a planning pass may come before its next start is sent.
+#[test]
+fn start_that_is_not_sent_yet_is_not_lost_with_its_worker() {
+    let mut harness = Harness::with_workers(1);
+    harness.now_ms += 20_000;
+    harness.report(0, vec![], vec![]);
+    harness.now_ms += 1_500;
+    harness
+        .planner
+        .add_job(job(1, 1, vec![step(1, 1)]), 1, harness.now_ms);
+    let (_, flush) = harness.plan_without_store();
+    harness.planner.complete_flush(flush, harness.now_ms);
+    let orders = harness.planner.take_orders();
+    assert_eq!(starts(&orders).len(), 1);
+    harness.now_ms += 20;
+    let (again, flush) = harness.plan_without_store();
+    assert!(again.is_empty() && flush.is_empty(), "{again:?}");
+}
