Bear the longest time that a caller says it waits

A call whose header names a time near 2^64 ms was not answered: the sum with the clock overflowed, which ends the handling of that connection when built with checks, and otherwise makes the deadline lie in the past. The same sum overflowed at a peer to which such a call is passed on. Both saturate now.

--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -267,7 +267,7 @@
         let arrived_ms = now_ms();
         let call = Call {
             arrived_ms,
-            answer_by_ms: arrived_ms + passed.left_ms,
+            answer_by_ms: arrived_ms.saturating_add(passed.left_ms),
             key: passed.key,
             target: passed.target,
         };
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -100,7 +100,7 @@
     let caller_timeout_ms = caller_headers.caller_timeout_ms.unwrap_or(DEFAULT_WAIT_MS);
     let call = Call {
         arrived_ms,
-        answer_by_ms: arrived_ms + caller_timeout_ms.saturating_sub(ANSWER_MARGIN_MS),
+        answer_by_ms: arrived_ms.saturating_add(caller_timeout_ms.saturating_sub(ANSWER_MARGIN_MS)),
         key: caller_headers.key,
         target: Target::Path {
             host: header("host").unwrap_or_default().to_string(),
--- a/crates/control/tests/passing.rs
+++ b/crates/control/tests/passing.rs
@@ -105,3 +105,19 @@
     site.store.set_fault(StoreFault::None);
     assert!(site.store.keys("q/").is_empty(), "refused means not stored");
 }
+
+/// The peer adds the time that is left to its own clock.
+#[tokio::test(flavor = "multi_thread")]
+async fn passed_call_with_highest_deadline_is_unanswered() {
+    let (site, store_endpoint, cut) = site_with_cut_node().await;
+    store_endpoint.set_fault(StoreFault::Busy);
+    let step = serde_json::json!({"count": 1, "cpu": 1_000, "mem_mb": 100, "gpu": 1});
+    let call = site
+        .client
+        .post(format!("http://{}/q/{:016x}", site.nodes[cut].address, 1))
+        .header("host", "desk.example")
+        .header("hemlockloft-credential", KEY)
+        .header("hemlockloft-deadline-ms", u64::MAX.to_string())
+        .body(serde_json::json!({"spec": "text", "steps": [step]}).to_string());
+    assert_eq!(call.send().await.unwrap().status(), 200);
+}
