--- a/crates/control/src/record_writer.rs
+++ b/crates/control/src/record_writer.rs
@@ -80,7 +80,7 @@
         let due = |ended: &VecDeque<(JobId, u64)>| {
             ended
                 .front()
-                .is_some_and(|(_, at)| at + keep_ms < unix_ms())
+                .is_some_and(|(_, at)| at.saturating_add(keep_ms) < unix_ms())
         };
         let mut removed = 0;
         while removed < MAX_REMOVALS_PER_WRITE
