Write a node's peer entry again after it was refused

What callers saw: nothing by itself; a node whose first entry among the peers was refused, or conflicted with that of its earlier incarnation, was never listed, so that no other node passed calls on to it when the store turned that one away.

Cause: the entry's lease was remembered before the entry was written, and was then renewed without end.

Change: it is remembered once the entry is written; without that, both are done again after a second.

--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -344,8 +344,8 @@
             .store
             .create_lease(ENTRY_TTL_MS, CALL_TIMEOUT_MS)
             .await?;
-        *lease = Some(taken);
         write_entry(node, address, taken).await?;
+        *lease = Some(taken);
     }
     let (items, _) = node
         .store
--- a/crates/control/tests/passing.rs
+++ b/crates/control/tests/passing.rs
@@ -105,3 +105,23 @@
     site.store.set_fault(StoreFault::None);
     assert!(site.store.keys("q/").is_empty(), "refused means not stored");
 }
+
+/// A node whose first entry was refused must write it later; without an entry no peer passes calls on to it.
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_that_was_refused_is_written_again() {
+    let mut site = Site::start(1, LONG_RUN).await;
+    site.wait("the first node is listed", async |site| {
+        site.store.keys("peers/").len() == 1
+    })
+    .await;
+    let endpoint = site.store.open_endpoint().await.unwrap();
+    endpoint.set_fault(StoreFault::RefusesTransactions);
+    site.add_node_at(endpoint.address()).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(site.store.keys("peers/").len(), 1);
+    endpoint.set_fault(StoreFault::None);
+    site.wait("both are listed", async |site| {
+        site.store.keys("peers/").len() == 2
+    })
+    .await;
+}
