--- a/crates/control/tests/passing.rs
+++ b/crates/control/tests/passing.rs
@@ -121,3 +121,23 @@
         .body(serde_json::json!({"spec": "text", "steps": [step]}).to_string());
     assert_eq!(call.send().await.unwrap().status(), 200);
 }
+
+/// A node whose first entry was refused must write it later; without an entry no peer passes calls on to it.
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_that_was_refused_is_written_again() {
+    let mut site = Site::start(1, LONG_RUN).await;
+    site.wait("the first node is listed", async |site| {
+        site.store.keys("peers/").len() == 1
+    })
+    .await;
+    let endpoint = site.store.open_endpoint().await.unwrap();
+    endpoint.set_fault(StoreFault::RefusesTransactions);
+    site.add_node_at(endpoint.address()).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(site.store.keys("peers/").len(), 1);
+    endpoint.set_fault(StoreFault::None);
+    site.wait("both are listed", async |site| {
+        site.store.keys("peers/").len() == 2
+    })
+    .await;
+}
