--- a/crates/control/src/intake.rs
+++ b/crates/control/src/intake.rs
@@ -184,7 +184,8 @@
 impl FailedAttempts {
     /// Returns the answer to a request that is given up; a refusal only if no call may still take effect.
     pub fn final_reply(&self, why: &str) -> Reply {
-        match self.unknown {
+        // A refusal after a write that may still take effect is a fault that the soak has to find.
+        match self.unknown && !cfg!(feature = "kept-fault-refused-after-timeout") {
             true => Reply::OutcomeUnknown,
             false => Reply::refused(Counter::RefusedStore, why),
         }
--- a/crates/control/src/term.rs
+++ b/crates/control/src/term.rs
@@ -66,7 +66,9 @@
 
     /// Returns whether the lead is certainly held now.
     pub fn is_lead_valid(&self) -> bool {
-        now_ms() < self.valid_until_ms.load(Ordering::Relaxed)
+        // A lead that is used without being renewed is a fault that the soak has to find.
+        cfg!(feature = "kept-fault-lead-not-renewed")
+            || now_ms() < self.valid_until_ms.load(Ordering::Relaxed)
     }
 
     /// Returns whether starts may be sent now: the lead is certainly held, and the list of workers is recent.
@@ -137,6 +139,9 @@
     let node = &term.node;
     let mut new_connection = false;
     let mut lost_contact = false;
+    if cfg!(feature = "kept-fault-lead-not-renewed") {
+        return std::future::pending().await;
+    }
     loop {
         tokio::time::sleep(Duration::from_millis(if new_connection {
             RETRY_PAUSE_MS
