--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -6,6 +6,8 @@
 pub mod crest;
 pub mod live_site;
 pub mod live_worker;
+pub mod lives_calls;
+pub mod lives_play;
 
 use scheduler::prelude::*;
 use scheduler::{
