Give the processes of the odd-entry tests addresses of their own

The test released a free port of 127.0.0.1 before the node bound it, and an outgoing connection took it meanwhile. Ports are now at a loopback address of the test process's own, from where no connection goes out.

--- a/crates/daemon/tests/odd_entries.rs
+++ b/crates/daemon/tests/odd_entries.rs
@@ -6,6 +6,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
 use platform_standin::{Audit, StoreStandIn, WorkerStandIn, configuration};
@@ -42,10 +43,19 @@
     }
 }
 
-/// Returns free loopback addresses.
+/// Returns free addresses, at a loopback address of this process's own, where no outgoing connection takes a port.
 fn free_addresses<const COUNT: usize>() -> [SocketAddr; COUNT] {
-    let listeners = [(); COUNT].map(|()| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap());
-    listeners.map(|listener| listener.local_addr().unwrap())
+    static NEXT_PORT: AtomicU16 = AtomicU16::new(20_000);
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    let ip = Ipv4Addr::new(127, 128 + high % 64, middle, low);
+    [(); COUNT].map(|()| {
+        loop {
+            let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+            if TcpListener::bind((ip, port)).is_ok() {
+                return SocketAddr::from((ip, port));
+            }
+        }
+    })
 }
 
 fn temporary_file(kind: &str, address: SocketAddr) -> PathBuf {
