Lasting tasks start wherever there is room after 1.5 s of waiting

Cause: the places of a preemption that is not carried out are withheld while half of the service is in use, for as long as the gang is worth something. For lasting tasks the rule holds however full the service is. Change: a lasting task that has waited for 1.5 s uses all that is free, and leaves its rack.

--- a/crates/control/tests/upkeep.rs
+++ b/crates/control/tests/upkeep.rs
@@ -36,6 +36,7 @@
     site.machines.as_ref().unwrap()
 }
 
+/// Guards against LOST: a successor carries out a completed wave again, and what runs on its machines is stopped for good.
 #[tokio::test(flavor = "multi_thread")]
 async fn completed_wave_is_left_alone_by_successor() {
     let mut site = Site::start_with_machines(2, LONG_RUN, MAINTENANCE).await;
--- a/crates/control/tests/worker_lives.rs
+++ b/crates/control/tests/worker_lives.rs
@@ -214,6 +214,7 @@
     listener.local_addr().unwrap()
 }
 
+/// Guards against TWICE: an entry of another writer is taken for the end of a worker, and what it runs starts elsewhere.
 #[rstest]
 #[case::without_born(OddEntry::WithoutBorn)]
 #[case::born_later(OddEntry::Born("2"))]
--- a/crates/scheduler/src/schedule.rs
+++ b/crates/scheduler/src/schedule.rs
@@ -15,6 +15,10 @@
 /// How long before its due time an occurrence may start; the platform tolerates 250 ms.
 const EARLY_START_MS: u64 = 0;
 
+/// How long a lasting task waits for capacity other than that withheld for urgent work, and for its rack. The platform
+/// lets it have nothing running for 3 s while there is room; half of that is reserved for storing and delivering the start.
+const LONGEST_LASTING_WAIT_MS: u64 = 1_500;
+
 /// Capacity that a pass withholds from work that is not urgent, and what found no room in it.
 #[derive(Debug, Default)]
 struct Withheld {
@@ -115,7 +119,7 @@
         now_ms: u64,
     ) -> Vec<Candidate> {
         let mut candidates = self.candidates(group, now_ms);
-        if self.jobs[group.job].stored.priority == 0 {
+        if self.may_use_all_capacity(group, now_ms) {
             return candidates;
         }
         candidates.retain(|candidate| !withheld.workers.contains(&candidate.worker));
@@ -139,8 +143,24 @@
         }
     }
 
+    /// Returns whether a group may use the capacity that is withheld for urgent work: it is urgent itself, or lasts and
+    /// has waited for as long as it can.
+    fn may_use_all_capacity(&self, group: GroupKey, now_ms: u64) -> bool {
+        self.jobs[group.job].stored.priority == 0 || self.is_overdue_lasting(group, now_ms)
+    }
+
+    /// Returns whether lasting tasks have waited so long that they have to start wherever there is room.
+    fn is_overdue_lasting(&self, group: GroupKey, now_ms: u64) -> bool {
+        let job = &self.jobs[group.job];
+        job.step_of(group.group as usize).lasting
+            && job.groups[group.group as usize].waited_ms(now_ms) >= LONGEST_LASTING_WAIT_MS
+    }
+
     /// Returns whether a group has waited so long for its rack that running slower elsewhere is no worse.
     pub(crate) fn may_leave_rack(&self, group: GroupKey, now_ms: u64) -> bool {
+        if self.is_overdue_lasting(group, now_ms) {
+            return true;
+        }
         let job = &self.jobs[group.job];
         let waited_ms =
             now_ms.saturating_sub(job.groups[group.group as usize].ready_ms.unwrap_or(now_ms));
@@ -212,10 +232,12 @@
     /// Returns the shape of a group of which `count` tasks have to fit at the same time.
     fn shape(&self, group: GroupKey, count: usize, extent: Extent, now_ms: u64) -> Shape {
         let job = &self.jobs[group.job];
-        let access = match job.stored.priority {
-            0 => Access::All,
-            _ if self.may_use_headroom(group, now_ms) => Access::Headroom,
-            _ => Access::OutsideHeadroom,
+        let access = if self.may_use_all_capacity(group, now_ms) {
+            Access::All
+        } else if self.may_use_headroom(group, now_ms) {
+            Access::Headroom
+        } else {
+            Access::OutsideHeadroom
         };
         Shape {
             service: job.stored.service.clone(),
--- a/crates/scheduler/tests/headroom.rs
+++ b/crates/scheduler/tests/headroom.rs
@@ -7,8 +7,8 @@
 
 use rstest::rstest;
 use scheduler::prelude::*;
-use scheduler::{BodyLimits, Configuration, Queue, RunOutcome, TaskName};
-use support::{Harness, ended, job, running, starts, step, stops, worker_of};
+use scheduler::{BodyLimits, Configuration, RunOutcome, TaskName};
+use support::{Harness, ended, job, queue, running, starts, step, stops, worker_of};
 
 /// Run time of urgent tasks, and of other tasks.
 const URGENT_MS: u64 = 2_000;
@@ -216,22 +216,6 @@
     assert_eq!(!starts(&harness.plan()).is_empty(), takes);
 }
 
-/// Returns a queue with the given priority.
-fn queue(priority: u32) -> Queue {
-    Queue {
-        name: "queue".to_string(),
-        host: "desk.example".to_string(),
-        path_prefix: "/q/".to_string(),
-        service: "engine".to_string(),
-        priority,
-        attempts: 2,
-        stretch_percent: 150,
-        goal_ms: 400,
-        public: false,
-        advice: None,
-    }
-}
-
 #[rstest]
 #[case::urgent_work_may_come(0, 32)]
 #[case::no_urgent_work(1, 64)]
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -11,7 +11,7 @@
 
 use scheduler::prelude::*;
 use scheduler::{
-    ActiveRun, EndedRun, Flush, JobRecord, RunOutcome, StartOutcome, Timing, WorkerList,
+    ActiveRun, EndedRun, Flush, JobRecord, Queue, RunOutcome, StartOutcome, Timing, WorkerList,
 };
 
 /// Limits as in one of the deployments.
@@ -76,6 +76,22 @@
     }
 }
 
+/// Returns a queue with the given priority.
+pub fn queue(priority: u32) -> Queue {
+    Queue {
+        name: "queue".to_string(),
+        host: "desk.example".to_string(),
+        path_prefix: "/q/".to_string(),
+        service: "engine".to_string(),
+        priority,
+        attempts: 2,
+        stretch_percent: 150,
+        goal_ms: 400,
+        public: false,
+        advice: None,
+    }
+}
+
 /// A planner with its clock and workers.
 pub struct Harness {
     pub planner: Planner,
--- a/crates/scheduler/tests/withholding.rs
+++ b/crates/scheduler/tests/withholding.rs
@@ -45,6 +45,7 @@
     }
 }
 
+/// Guards against LOST: an urgent gang that waits has all of its workers kept idle, however long it waits.
 #[rstest]
 #[case::next_priority(1, false)]
 #[case::lasting(1, true)]
@@ -139,7 +140,8 @@
     assert!(started.iter().all(|(name, _)| is_urgent(name)));
 }
 
-/// An urgent job is worth nothing after three times the time within which it would be on time.
+/// Guards against capacity kept for an urgent job that is worth nothing any more: it took three times the time within
+/// which it would be on time.
 #[test]
 fn urgent_gang_that_is_too_late_holds_nothing_back() {
     let (mut harness, mut runs) = occupied_workers(20);
