Lasting tasks start at a quarantined worker if no other has room

What callers would see: a lasting task has nothing running for up to 24 s although its worker is healthy again (LOST). Cause: a worker that turned starts away several times gets nothing until its quarantine ends. Change: a lasting task that has waited for 1.5 s may start there; such workers rank last. Measured: lasting_task_starts_at_quarantined_worker_if_no_other_has_room failed before (no start in 3 s), passes now, as do all tests of the package.

--- a/crates/scheduler/src/fit.rs
+++ b/crates/scheduler/src/fit.rs
@@ -113,11 +113,15 @@
 impl Planner {
     /// Returns whether a worker may get new work now.
     pub(crate) fn is_usable(&self, worker: &Worker, now_ms: u64) -> bool {
+        self.is_reachable(worker, now_ms) && worker.health.is_trusted(now_ms)
+    }
+
+    /// Returns whether a worker takes new work and has answered lately.
+    fn is_reachable(&self, worker: &Worker, now_ms: u64) -> bool {
         self.is_open(worker)
             && worker.fenced
             && !worker.unresponsive
             && worker.answered_ms + self.limits.unresponsive_ms >= now_ms
-            && worker.health.is_trusted(now_ms)
     }
 
     /// Returns whether a worker is listed and neither leaves nor is being emptied.
@@ -164,9 +168,14 @@
         let mut free_by_rack: Vec<i64> = self.racks.table();
         let mut candidates = Vec::with_capacity(self.workers.len());
         let joins_suspects = self.may_join_suspects(group, now_ms);
+        let joins_quarantined = self.is_overdue_lasting(group, now_ms);
         for (key, worker) in &self.workers {
             let is_held = self.is_held_by_suspect(worker);
-            if !self.is_usable(worker, now_ms) || is_held && !joins_suspects {
+            let is_trusted = worker.health.is_trusted(now_ms);
+            if !self.is_reachable(worker, now_ms)
+                || !is_trusted && !joins_quarantined
+                || is_held && !joins_suspects
+            {
                 continue;
             }
             let free = worker.free();
@@ -180,7 +189,7 @@
                 free,
                 slots_left: self.slots_left(group, worker),
                 rack_free: 0,
-                recently_failed: worker.health.has_recent_failure() || is_held,
+                recently_failed: worker.health.has_recent_failure() || !is_trusted || is_held,
                 empty: worker.is_empty(),
             });
         }
--- a/crates/scheduler/src/schedule.rs
+++ b/crates/scheduler/src/schedule.rs
@@ -15,7 +15,8 @@
 /// How long before its due time an occurrence may start; the platform tolerates 250 ms.
 const EARLY_START_MS: u64 = 0;
 
-/// How long a lasting task waits for capacity other than that withheld for urgent work, and for its rack. The platform
+/// How long a lasting task waits for capacity other than that withheld for urgent work, for its rack, and for a worker that
+/// is not quarantined. The platform
 /// lets it have nothing running for 3 s while there is room; half of that is reserved for storing and delivering the start.
 const LONGEST_LASTING_WAIT_MS: u64 = 1_500;
 
@@ -150,7 +151,7 @@
     }
 
     /// Returns whether lasting tasks have waited so long that they have to start wherever there is room.
-    fn is_overdue_lasting(&self, group: GroupKey, now_ms: u64) -> bool {
+    pub(crate) fn is_overdue_lasting(&self, group: GroupKey, now_ms: u64) -> bool {
         let job = &self.jobs[group.job];
         job.step_of(group.group as usize).lasting
             && job.groups[group.group as usize].waited_ms(now_ms) >= LONGEST_LASTING_WAIT_MS
--- a/crates/scheduler/tests/lasting.rs
+++ b/crates/scheduler/tests/lasting.rs
@@ -7,7 +7,7 @@
 
 use rstest::rstest;
 use scheduler::prelude::*;
-use scheduler::{BodyLimits, Configuration};
+use scheduler::{BodyLimits, Configuration, StartOutcome};
 use support::{Harness, job, queue, running, starts, step, stops, worker_of};
 
 /// Run time of the work that occupies workers.
@@ -64,6 +64,21 @@
         }
         started
     }
+
+    /// Plays until there are orders, for at most some time, and returns them.
+    fn wait_for_orders(&mut self, most_ms: u64) -> Vec<Order> {
+        for _ in 0..most_ms / PASS_MS {
+            self.harness.now_ms += PASS_MS;
+            for index in 0..self.harness.workers.len() {
+                self.harness.report(index, vec![], vec![]);
+            }
+            let orders = self.harness.plan();
+            if !orders.is_empty() {
+                return orders;
+            }
+        }
+        Vec::new()
+    }
 }
 
 fn long_step(count: u32, accelerators: i64) -> StepSpec {
@@ -148,6 +163,20 @@
     assert_eq!(site.play(LONGEST_IDLE_MS), 2, "the other rack is idle");
 }
 
+/// A worker that turned away starts again and again gets no other work for up to 24 s, also once it is healthy.
+#[test]
+fn lasting_task_starts_at_quarantined_worker_if_no_other_has_room() {
+    let mut site = Site::new(1);
+    site.submit(1, lasting_step(1));
+    for _ in 0..4 {
+        let orders = site.wait_for_orders(30_000);
+        assert_eq!(starts(&orders).len(), 1);
+        let outcome = StartOutcome::Unhealthy;
+        site.harness.report_start_outcome(&orders[0], outcome);
+    }
+    assert_eq!(starts(&site.wait_for_orders(LONGEST_IDLE_MS)).len(), 1);
+}
+
 /// Tasks of a gang that run slower on several racks.
 #[test]
 fn lasting_gang_is_spread_over_racks_that_are_nearly_full() {
