Stop what runs on a leaving worker before it may exit

Cause: a run ends milliseconds before its worker exits; the renewal in flight breaks without an answer, and the planner starts the task again. The platform counts the end. Change: runs that only a leaving worker lists are stopped so that they are over at its announced time, counted from the last list that named it as staying. A gang with a member elsewhere goes on. A worker that a successor first sees when it already leaves: still open.

--- a/crates/control/src/listing.rs
+++ b/crates/control/src/listing.rs
@@ -21,12 +21,13 @@
 /// Reads the list; entries that do not describe a worker are skipped, since other programs may write there.
 pub(crate) async fn read_workers(node: &Node) -> Result<WorkerList, CallError> {
     node.metrics.count(Counter::StoreCalls);
+    let asked_ms = now_ms();
     let (items, _) = node.store.read_all(WORKERS_PREFIX, CALL_TIMEOUT_MS).await?;
     let entries = items
         .iter()
         .filter_map(|item| decode_worker_entry(item.key.strip_prefix(WORKERS_PREFIX)?, &item.value))
         .collect();
-    Ok(WorkerList { entries })
+    Ok(WorkerList { entries, asked_ms })
 }
 
 /// Reads which data centres the operator evacuates.
@@ -52,10 +53,10 @@
             term.lock_planner().set_evacuated(evacuated);
         }
         // A failed read says nothing about the workers; their answers to renewals still do.
-        let asked_ms = now_ms();
         let Ok(list) = read_workers(&term.node).await else {
             continue;
         };
+        let asked_ms = list.asked_ms;
         let (added, doubted) = {
             let mut planner = term.lock_planner();
             (planner.list_workers(list, now_ms()), planner.take_doubted())
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -66,6 +66,8 @@
     StartsRefused,
     /// Tasks preempted to free capacity.
     Preempted,
+    /// Tasks stopped before their worker may leave.
+    StoppedBeforeLeave,
     /// Tasks lost because their worker's lease expired or its incarnation ended.
     TasksLost,
     /// Jobs given up because a task crashed one worker after the other.
--- a/crates/control/src/term.rs
+++ b/crates/control/src/term.rs
@@ -303,6 +303,8 @@
     }
     node.metrics.set(Counter::StartsRefused, counts.refused);
     node.metrics.set(Counter::Preempted, counts.preempted);
+    node.metrics
+        .set(Counter::StoppedBeforeLeave, counts.stopped_before_leave);
     node.metrics.set(Counter::TasksLost, counts.lost);
     node.metrics.set(Counter::JobsGivenUp, counts.given_up);
     node.metrics
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -260,6 +260,22 @@
         }
     }
 
+    /// Stops a task; if it belongs to a gang, the whole gang. Returns the number of tasks.
+    pub(crate) fn stop_with_gang(&mut self, key: TaskKey, now_ms: u64) -> u64 {
+        let gang = self.is_gang(key.group);
+        let tasks = match gang {
+            true => self.list_tasks(key.group),
+            false => vec![key],
+        };
+        for task in &tasks {
+            self.stop_task(*task, now_ms);
+        }
+        if gang {
+            self.tear_down_gang(key.group, now_ms);
+        }
+        tasks.len() as u64
+    }
+
     /// Handles a run that is over although no worker reported its outcome; `evidence` says what shows that it is over.
     pub(crate) fn lose_task(&mut self, key: TaskKey, evidence: &str, now_ms: u64) {
         let Some(phase) = self.task(key).map(|task| task.phase) else {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -14,6 +14,7 @@
 mod headroom;
 mod health;
 mod job;
+mod leaving;
 mod listing;
 mod lives;
 mod maintenance;
--- a/crates/scheduler/src/listing.rs
+++ b/crates/scheduler/src/listing.rs
@@ -24,7 +24,7 @@
                 Some(key) => key,
                 None => self.add_worker(entry.clone(), now_ms),
             };
-            self.refresh_worker(key, entry, now_ms);
+            self.refresh_worker(key, entry, list.asked_ms, now_ms);
             named.insert(key);
         }
         self.update_unlisted(&named, now_ms);
@@ -92,18 +92,10 @@
         key
     }
 
-    fn refresh_worker(&mut self, key: WorkerKey, entry: WorkerEntry, now_ms: u64) {
+    fn refresh_worker(&mut self, key: WorkerKey, entry: WorkerEntry, asked_ms: u64, now_ms: u64) {
         let worker = &mut self.workers[key];
         worker.proposed = None;
-        // The entry may be older than this read.
-        let leaves_at_ms = entry
-            .remaining_ms
-            .map(|remaining_ms| now_ms.saturating_add(remaining_ms));
-        worker.leaves_at_ms = match (entry.leaving, worker.leaves_at_ms, leaves_at_ms) {
-            (false, ..) => None,
-            (true, Some(before), Some(now)) => Some(before.min(now)),
-            (true, before, now) => before.or(now),
-        };
+        worker.update_leave(&entry, asked_ms, now_ms);
         let before = worker.entry.capacity;
         let after = entry.capacity;
         if worker.entry.rack != entry.rack {
@@ -111,7 +103,13 @@
         }
         if !worker.listed || worker.entry.leaving != entry.leaving {
             self.changed = true;
-            let why = format!("worker {} listed, leaving: {}", entry.id, entry.leaving);
+            let leaves = entry
+                .remaining_ms
+                .map_or_else(String::new, |ms| format!(", in {ms} ms at the earliest"));
+            let why = format!(
+                "worker {} listed, leaving: {}{leaves}",
+                entry.id, entry.leaving
+            );
             let changes = entry.leaving != worker.entry.leaving;
             worker.listed = true;
             worker.has_short_lease |= entry.leaving;
--- a/crates/scheduler/src/planner.rs
+++ b/crates/scheduler/src/planner.rs
@@ -56,6 +56,8 @@
     pub failed: u64,
     /// Runs that were preempted.
     pub preempted: u64,
+    /// Runs that were stopped before their worker may leave.
+    pub stopped_before_leave: u64,
     /// Runs lost with their worker or its lease.
     pub lost: u64,
     /// Runs that ended because another member of their gang ended.
--- a/crates/scheduler/src/preempt.rs
+++ b/crates/scheduler/src/preempt.rs
@@ -201,17 +201,7 @@
     /// Preempts a task; if it belongs to a gang, the whole gang.
     fn preempt_task(&mut self, key: TaskKey, by: crate::JobId, now_ms: u64) {
         let id = self.jobs[key.group.job].stored.id;
-        let victims = match self.is_gang(key.group) {
-            true => self.list_tasks(key.group),
-            false => vec![key],
-        };
-        for victim in victims {
-            self.counts.preempted += 1;
-            self.stop_task(victim, now_ms);
-        }
-        if self.is_gang(key.group) {
-            self.tear_down_gang(key.group, now_ms);
-        }
+        self.counts.preempted += self.stop_with_gang(key, now_ms);
         self.record_decision(
             Some(id),
             "preempted",
--- a/crates/scheduler/src/schedule.rs
+++ b/crates/scheduler/src/schedule.rs
@@ -35,6 +35,7 @@
     pub fn plan(&mut self, now_ms: u64, unix_ms: u64) {
         self.changed = false;
         self.expire_leases(now_ms);
+        self.stop_before_leave(now_ms);
         self.stop_remaining_members(now_ms);
         self.settle_reservations(now_ms);
         let mut withheld = Withheld::default();
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -116,9 +116,11 @@
 
     /// Applies a list of workers of the platform; those that are new to the planner are appended in order.
     pub fn list(&mut self, entries: Vec<WorkerEntry>) {
-        let added = self
-            .planner
-            .list_workers(WorkerList { entries }, self.now_ms);
+        let list = WorkerList {
+            entries,
+            asked_ms: self.now_ms,
+        };
+        let added = self.planner.list_workers(list, self.now_ms);
         self.workers.extend(added);
     }
 
--- a/crates/scheduler/tests/worker_lives.rs
+++ b/crates/scheduler/tests/worker_lives.rs
@@ -9,7 +9,7 @@
 use rstest::rstest;
 use scheduler::prelude::*;
 use scheduler::{StartOutcome, StopOutcome};
-use support::live_site::{LiveSite, first_task};
+use support::live_site::{LiveSite, TICK_MS, first_task};
 use support::{job, limits, starts, step, stops, worker_of};
 
 /// Long enough that every lease that is not renewed has ended.
@@ -273,3 +273,56 @@
     assert_eq!(site.find_runs(job.id), vec![1 - home]);
     assert_eq!(site.twice, Vec::<TaskName>::new());
 }
+
+/// How long a worker stays after its notice, and how long the planner may stop its runs before that.
+const NOTICE_MS: u64 = 4_000;
+const LONGEST_EARLY_STOP_MS: u64 = 1_600;
+
+/// Guards against TWICE: a run is done as its worker exits, nobody hears of it, and the task starts again.
+#[rstest]
+fn run_that_ends_as_leaving_worker_exits_is_stopped_before(
+    #[values(0, 1, 2, 3, 4, 5, 6, 7)] ticks_since_list: u64,
+) {
+    let mut site = LiveSite::new(2);
+    let job = task_job(1);
+    let home = site.run_job(job.clone());
+    site.list();
+    site.play(ticks_since_list * TICK_MS);
+    site.entries[home].leaving = true;
+    site.entries[home].remaining_ms = Some(NOTICE_MS);
+    site.play(NOTICE_MS - LONGEST_EARLY_STOP_MS);
+    site.assert_runs_on(job.id, home);
+    site.play(LONGEST_EARLY_STOP_MS - limits().stop_grace_ms);
+    assert_eq!(site.stops, vec![(first_task(&job), 1)]);
+    site.play(limits().stop_grace_ms);
+    site.workers[home].finish_runs();
+    site.workers[home].up = false;
+    site.entries.remove(home);
+    site.play(LONGER_THAN_LEASE_MS);
+    assert_eq!(site.runs_started(job.id), vec![1, 2]);
+    assert_eq!(site.find_runs(job.id), vec![1 - home]);
+    assert_eq!(site.twice, Vec::<TaskName>::new());
+}
+
+/// The other members list that the gang is done.
+#[rstest]
+#[case::one_member_leaves(&[0], 0)]
+#[case::all_members_leave(&[0, 1], 2)]
+fn gang_on_leaving_workers_is_stopped_only_if_no_member_stays(
+    #[case] leaving: &[usize],
+    #[case] stopped: usize,
+) {
+    let mut site = LiveSite::new(2);
+    let gang = StepSpec {
+        gang: true,
+        ..step(2, 8)
+    };
+    site.run_job(job(1, 2, vec![gang]));
+    site.list();
+    for index in leaving {
+        site.entries[*index].leaving = true;
+        site.entries[*index].remaining_ms = Some(NOTICE_MS);
+    }
+    site.play(NOTICE_MS);
+    assert_eq!(site.stops.len(), stopped);
+}
