Count the time until a worker leaves from the entry that names it

What callers would see: a task on a leaving worker is stopped too early, by half of the notice, if the worker's entry counts its remaining time down. Cause: each new remaining time was added to the time of the last list without the notice. Change: it is added to the time of the list before the one that shows it first.

--- a/crates/scheduler/src/leaving.rs
+++ b/crates/scheduler/src/leaving.rs
@@ -14,20 +14,25 @@
 impl Worker {
     /// Takes in what a list that was asked for at `asked_ms` says about the time of its leave.
     pub(crate) fn update_leave(&mut self, entry: &WorkerEntry, asked_ms: u64, now_ms: u64) {
-        if !entry.leaving {
-            (self.leaves_at_ms, self.stayed_ms) = (None, Some(asked_ms));
-            return;
-        }
-        let Some(remaining_ms) = entry.remaining_ms else {
+        let is_new = !self.entry.leaving || self.entry.remaining_ms != entry.remaining_ms;
+        let listed_before_ms = self.listed_asked_ms.replace(asked_ms);
+        let (true, Some(remaining_ms)) = (entry.leaving, entry.remaining_ms) else {
+            self.leaves_at_ms = self.leaves_at_ms.filter(|_| entry.leaving);
             return;
         };
-        // Its notice may be as old as the last list without it.
-        let noticed_ms = self.stayed_ms.unwrap_or(now_ms);
-        let leaves_at_ms = noticed_ms.saturating_add(remaining_ms);
-        self.leaves_at_ms = Some(match self.leaves_at_ms {
-            Some(before) => before.min(leaves_at_ms),
-            None => leaves_at_ms,
-        });
+        if !is_new && self.leaves_at_ms.is_some() {
+            return;
+        }
+        // The entry is newer than the list before. Without one it may be of any age.
+        let latest_ms = now_ms.saturating_add(remaining_ms);
+        let earliest_ms = listed_before_ms.map(|ms| ms.saturating_add(remaining_ms));
+        let before_ms = self.leaves_at_ms.unwrap_or(0);
+        self.leaves_at_ms = Some(
+            earliest_ms
+                .unwrap_or(latest_ms)
+                .max(before_ms)
+                .min(latest_ms),
+        );
     }
 }
 
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -208,8 +208,8 @@
     pub answered_ms: u64,
     /// The earliest time at which it leaves, if it has announced one.
     pub leaves_at_ms: Option<u64>,
-    /// When the newest list was asked for in which it did not leave.
-    pub stayed_ms: Option<u64>,
+    /// When the newest list that names it was asked for.
+    pub listed_asked_ms: Option<u64>,
     /// Whether its lease is kept short, since its entry says that it leaves or a stored record may say so.
     pub has_short_lease: bool,
     /// Whether it gets no new work because its machine goes down for maintenance.
@@ -254,7 +254,7 @@
             inherited_expiry_ms,
             answered_ms: 0,
             leaves_at_ms: None,
-            stayed_ms: None,
+            listed_asked_ms: None,
             has_short_lease: false,
             draining: false,
             unresponsive: false,
@@ -340,7 +340,7 @@
         self.clock = None;
         // A start that was meant for the incarnation before names a time on that one's clock, which may lie far ahead.
         self.lease_end_clock_ms = report.worker_clock_ms + lease_ms + LEASE_LENGTH_MARGIN_MS;
-        (self.leaves_at_ms, self.stayed_ms) = (None, None);
+        (self.leaves_at_ms, self.listed_asked_ms) = (None, None);
         self.has_short_lease = self.entry.leaving;
         self.draining = false;
         self.unresponsive = false;
--- a/crates/scheduler/tests/worker_lives.rs
+++ b/crates/scheduler/tests/worker_lives.rs
@@ -282,6 +282,7 @@
 #[rstest]
 fn run_that_ends_as_leaving_worker_exits_is_stopped_before(
     #[values(0, 1, 2, 3, 4, 5, 6, 7)] ticks_since_list: u64,
+    #[values(false, true)] counts_down: bool,
 ) {
     let mut site = LiveSite::new(2);
     let job = task_job(1);
@@ -289,12 +290,22 @@
     site.list();
     site.play(ticks_since_list * TICK_MS);
     site.entries[home].leaving = true;
-    site.entries[home].remaining_ms = Some(NOTICE_MS);
-    site.play(NOTICE_MS - LONGEST_EARLY_STOP_MS);
+    let leaves_ms = site.harness.now_ms + NOTICE_MS;
+    let play = |site: &mut LiveSite, ms: u64| {
+        for _ in 0..ms / TICK_MS {
+            let left_ms = match counts_down {
+                true => leaves_ms - site.harness.now_ms - TICK_MS,
+                false => NOTICE_MS,
+            };
+            site.entries[home].remaining_ms = Some(left_ms);
+            site.tick();
+        }
+    };
+    play(&mut site, NOTICE_MS - LONGEST_EARLY_STOP_MS);
     site.assert_runs_on(job.id, home);
-    site.play(LONGEST_EARLY_STOP_MS - limits().stop_grace_ms);
+    play(&mut site, LONGEST_EARLY_STOP_MS - limits().stop_grace_ms);
     assert_eq!(site.stops, vec![(first_task(&job), 1)]);
-    site.play(limits().stop_grace_ms);
+    play(&mut site, limits().stop_grace_ms);
     site.workers[home].finish_runs();
     site.workers[home].up = false;
     site.entries.remove(home);
