Take in the end of an earlier run also while a later one works

Cause: an end 'done' of an earlier run, listed after its worker's lease had ended, was dropped once the next run had begun. The later run is stopped, and the task stays done however that run ends.

--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -103,16 +103,14 @@
 
     /// Counts the loss of a worker that answered last at `answered_ms` for one task. Returns whether it did.
     fn count_crash(&mut self, key: TaskKey, may_be_at_start: bool, answered_ms: u64) -> bool {
-        let Some(task) = self.task_mut(key) else {
+        let Some(task) = self.task_mut(key).filter(|task| !task.is_done()) else {
             return false;
         };
         // A start without an answer may have come after the crash.
         let confirmed = task.started_ms >= task.placed_ms;
         let at_start = confirmed && answered_ms < task.began_ms() + START_PHASE_MS;
         match task.phase {
-            Phase::Waiting | Phase::Assigned(_) | Phase::Ending { .. } | Phase::Done => {
-                return false;
-            }
+            Phase::Waiting | Phase::Assigned(_) => return false,
             // When an earlier planner started it is unknown.
             Phase::Inherited(_) => task.crashes.all += 1,
             _ => {
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -1,6 +1,6 @@
 //! Handles the end of runs and jobs: ended, lost and cancelled runs, and the teardown of gangs.
 
-use crate::group::{GroupKey, JobKey, Phase, TaskKey};
+use crate::group::{GroupKey, JobKey, Phase, Task, TaskKey};
 use crate::job::JobState;
 use crate::planner::Planner;
 use crate::worker::{EndedRun, RunOutcome, WorkerKey};
@@ -23,21 +23,15 @@
         if matches!(phase, Phase::Done) {
             return;
         }
-        // The lease of the worker expired, but the run may have been done before that. If nothing else runs yet, its
-        // success counts, and a next start that was not sent is withdrawn.
-        let lease_expired = match phase {
-            Phase::Waiting => run == ended.run,
-            Phase::Assigned(_) => run > ended.run && !self.is_gang(key.group),
-            _ => false,
-        };
-        if !lease_expired && (run != ended.run || phase.worker() != Some(worker)) {
-            return;
-        }
-        if lease_expired && ended.outcome != RunOutcome::Done {
+        let is_current = run == ended.run && phase.worker() == Some(worker);
+        // The lease of the worker expired, but the run may have been done before that.
+        let is_done_late =
+            !is_current && run >= ended.run && ended.outcome == RunOutcome::Done && !task.is_done();
+        if !is_current && !is_done_late {
             return;
         }
         let id = self.jobs[key.group.job].stored.id;
-        if ended.outcome != RunOutcome::Done || lease_expired {
+        if ended.outcome != RunOutcome::Done || is_done_late {
             let discarded = match ended.outcome {
                 RunOutcome::Done => 0,
                 outcome => self.count_discarded_work(key, outcome, now_ms),
@@ -55,6 +49,7 @@
             );
         }
         match ended.outcome {
+            RunOutcome::Done if is_done_late => self.finish_late(key, worker, now_ms),
             RunOutcome::Done => self.finish_task(key, worker, now_ms),
             outcome => self.fail_task(key, worker, outcome, &ended.progress, now_ms),
         }
@@ -94,6 +89,37 @@
         self.settle_job(key.group.job);
     }
 
+    /// Marks a task, or its gang, as done by an earlier run than the current one, which is stopped. A task that runs until
+    /// its job is cancelled goes on.
+    fn finish_late(&mut self, key: TaskKey, worker: WorkerKey, now_ms: u64) {
+        let job = &self.jobs[key.group.job];
+        if job.state.is_final() || job.step_of(key.group.group as usize).lasting {
+            return;
+        }
+        self.counts.done += 1;
+        if let Some(worker) = self.workers.get_mut(worker) {
+            worker.health.record_success();
+        }
+        let gang = self.is_gang(key.group);
+        let tasks = match gang {
+            true => self.list_tasks(key.group),
+            false => vec![key],
+        };
+        for task in tasks {
+            if let Some(task) = self.task_mut(task) {
+                task.is_done_before = true;
+            }
+            match self.task(task).map(|task| task.phase) {
+                Some(Phase::Waiting) => self.release_task(task, Phase::Done, now_ms),
+                _ => self.stop_task(task, now_ms),
+            }
+        }
+        if gang {
+            self.jobs[key.group.job].groups[key.group.group as usize].teardown_since_ms = None;
+        }
+        self.settle_job(key.group.job);
+    }
+
     pub(crate) fn is_gang(&self, group: GroupKey) -> bool {
         self.jobs
             .get(group.job)
@@ -145,7 +171,7 @@
         now_ms: u64,
     ) {
         let gang = self.is_gang(key.group);
-        if matches!(self.task(key).map(|t| t.phase), Some(Phase::Ending { .. })) {
+        if self.task(key).is_some_and(Task::is_done) {
             return self.release_task(key, Phase::Done, now_ms);
         }
         match outcome {
@@ -281,7 +307,7 @@
         let Some(phase) = self.task(key).map(|task| task.phase) else {
             return;
         };
-        if matches!(phase, Phase::Ending { .. }) {
+        if self.task(key).is_some_and(Task::is_done) {
             return self.release_task(key, Phase::Done, now_ms);
         }
         self.record_lost_run(key, evidence, now_ms);
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -107,6 +107,8 @@
     pub is_listed: bool,
     /// Whether a start of the current run got no answer; it may still be carried out.
     pub start_in_doubt: bool,
+    /// Whether an earlier run has done the work; the current one is being stopped.
+    pub is_done_before: bool,
 }
 
 impl Task {
@@ -129,9 +131,15 @@
             avoid: None,
             is_listed: false,
             start_in_doubt: false,
+            is_done_before: false,
         }
     }
 
+    /// Returns whether the work is done, though a run may not have ended yet.
+    pub fn is_done(&self) -> bool {
+        self.is_done_before || matches!(self.phase, Phase::Done | Phase::Ending { .. })
+    }
+
     /// Returns when the current run began, as far as it is known.
     pub fn began_ms(&self) -> u64 {
         self.started_ms.max(self.placed_ms)
@@ -184,9 +192,7 @@
 
     /// Returns whether all its tasks are done.
     pub fn is_done(&self) -> bool {
-        self.tasks
-            .iter()
-            .all(|task| matches!(task.phase, Phase::Done | Phase::Ending { .. }))
+        self.tasks.iter().all(Task::is_done)
     }
 
     /// Returns whether any of its tasks occupies capacity on a worker.
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::group::{Group, Phase};
+use crate::group::Group;
 use crate::record::{GroupRecord, JobRecord, StoredJob, StoredWorker, TaskRecord};
 use crate::spec::{Resources, StepSpec};
 use crate::task::TaskName;
@@ -221,7 +221,7 @@
             run: task.run,
             failed: task.failed,
             crashes: task.crashes,
-            done: matches!(task.phase, Phase::Done | Phase::Ending { .. }),
+            done: task.is_done(),
             worker: task.phase.worker().and_then(name),
             progress: if task.progress.is_empty() {
                 group.progress.clone()
--- a/crates/scheduler/src/planner.rs
+++ b/crates/scheduler/src/planner.rs
@@ -455,7 +455,10 @@
             return;
         };
         let worker = task.phase.worker();
-        task.phase = phase;
+        task.phase = match phase {
+            Phase::Waiting if task.is_done_before => Phase::Done,
+            phase => phase,
+        };
         task.since_ms = now_ms;
         if let Some(worker) = worker.and_then(|w| self.workers.get_mut(w))
             && worker.tasks.remove(&key).is_some()
