Give a task up after four crashes right after its starts instead of three

Cause: three crashes within 2 s of a start counted as the task's fault. Workers that lose power one after the other look the same. Change: four. The platform bears two starts after the third crash, so one is left for a crash that was not counted. Measured: complete_task_whose_workers_crash_by_chance, both cases of three crashes soon after the start failed before.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -43,8 +43,8 @@
     assert_holds(seed, kinds).await;
 }
 
+/// Guards against LOST: a job is given up after three workers lost power right after they had begun a task of it.
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "KNOWN-RED.txt, soak given up"]
 async fn soak_keeps_job_whose_workers_lose_power() {
     assert_holds(13, &[FaultKind::PowerLoss]).await;
 }
--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -16,9 +16,9 @@
 /// answers a renewal within 2 s.
 const START_PHASE_MS: u64 = 2_000;
 
-/// A task is given up after this many crashes within the start phase of its runs that their workers confirmed. Two are
-/// enough for the platform.
-const MAX_CRASHES_AT_START: u32 = 3;
+/// A task is given up after this many crashes within the start phase of its runs that their workers confirmed. Three in a
+/// row come by chance where workers lose power one after the other.
+const MAX_CRASHES_AT_START: u32 = 4;
 
 /// A task is given up after this many crashes at any time of its runs, or while it was unknown whether they had begun. The
 /// platform bears two starts after the third crash.
--- a/crates/scheduler/tests/crashes.rs
+++ b/crates/scheduler/tests/crashes.rs
@@ -75,9 +75,11 @@
 
 #[rstest]
 #[case::soon_after_its_start(2, 100, AWAY_MS, step(1, 1))]
+#[case::three_times_soon_after_its_start(3, 100, AWAY_MS, step(1, 1))]
 #[case::later(4, 2_500, AWAY_MS, step(1, 1))]
 #[case::cut_off_soon_after_its_start(4, 100, LONG_AWAY_MS, step(1, 1))]
 #[case::gang_soon_after_its_start(2, 100, AWAY_MS, gang(3, 8))]
+#[case::gang_three_times_soon_after_its_start(3, 100, AWAY_MS, gang(3, 8))]
 fn complete_task_whose_workers_crash_by_chance(
     #[case] crashes: usize,
     #[case] age_ms: u64,
