Confirm ends only to a worker that has answered within 100 ms

What callers would see: a task that is done runs again, after its worker restarted while its ends were being stored (TWICE). Cause: a renewal after the wait for the store, up to 300 ms, may reach the next incarnation, which forgets ends of its own with the numbers that are confirmed. Change: a worker that answered longer ago is asked once more first.

--- a/crates/control/src/lease_renewal.rs
+++ b/crates/control/src/lease_renewal.rs
@@ -188,7 +188,9 @@
         true => planner.grant_lease(key, now_ms()),
         false => None,
     };
-    let wait_ms = match at_once || planner.has_unstored_ends(key) {
+    let has_open_ends =
+        planner.has_unstored_ends(key) || planner.has_unconfirmable_ends(key, now_ms());
+    let wait_ms = match at_once || has_open_ends {
         true => 0,
         false if planner.is_shared(key) => SHARED_WORKER_WAIT_MS,
         false if entry.leaving => LEAVING_WORKER_WAIT_MS,
@@ -197,7 +199,7 @@
     let renewal = LeaseRenewal {
         term: term.lead.term,
         lease_end_clock_ms,
-        ends_confirmed: planner.confirmed_ends(key),
+        ends_confirmed: planner.confirmed_ends(key, now_ms()),
         wait_ms,
     };
     Some((entry, renewal))
--- a/crates/scheduler/src/events.rs
+++ b/crates/scheduler/src/events.rs
@@ -11,6 +11,9 @@
 use crate::task::{JobId, TaskName};
 use crate::worker::{ActiveRun, LEAVING_LEASE_MS, RenewalReport, WorkerKey};
 
+/// A worker that answered this long ago, or earlier, may have restarted since.
+const SHORTEST_RESTART_MS: u64 = 100;
+
 impl Planner {
     /// Adds an accepted job; `order` rises with the order of acceptance.
     pub fn add_job(&mut self, stored: StoredJob, order: u64, now_ms: u64) {
@@ -63,15 +66,23 @@
         self.workers.get(key).is_some_and(|w| w.has_short_lease)
     }
 
-    /// Returns the highest number of an ended run that can be confirmed to the worker. None is confirmed as long as
+    /// Returns the highest number of an ended run that can be confirmed to the worker now. None is confirmed as long as
     /// the next incarnation may answer, which would forget ends of its own.
-    pub fn confirmed_ends(&self, key: WorkerKey) -> u64 {
+    pub fn confirmed_ends(&self, key: WorkerKey, now_ms: u64) -> u64 {
         self.workers
             .get(key)
             .filter(|worker| !worker.may_have_restarted())
+            .filter(|worker| now_ms <= worker.answered_ms + SHORTEST_RESTART_MS)
             .map_or(0, |worker| worker.ends_stored)
     }
 
+    /// Returns whether ended runs are stored that cannot be confirmed before the worker has answered again.
+    pub fn has_unconfirmable_ends(&self, key: WorkerKey, now_ms: u64) -> bool {
+        self.workers
+            .get(key)
+            .is_some_and(|worker| self.confirmed_ends(key, now_ms) < worker.ends_stored)
+    }
+
     /// Returns whether a worker has listed ended runs that are not in the store yet.
     pub fn has_unstored_ends(&self, key: WorkerKey) -> bool {
         self.workers
--- a/crates/scheduler/tests/support/live_site.rs
+++ b/crates/scheduler/tests/support/live_site.rs
@@ -197,7 +197,7 @@
             true => planner.grant_lease(key, now_ms),
             false => None,
         };
-        let confirmed = planner.confirmed_ends(key);
+        let confirmed = planner.confirmed_ends(key, now_ms);
         match self.find_receiver(&entry) {
             Receiver::Named(index) => {
                 let worker = &mut self.workers[index];
--- a/crates/scheduler/tests/support/lives_calls.rs
+++ b/crates/scheduler/tests/support/lives_calls.rs
@@ -59,7 +59,7 @@
         };
         let confirmed = match new_connection {
             true => 0,
-            false => planner.confirmed_ends(key),
+            false => planner.confirmed_ends(key, now_ms),
         };
         let Some(index) = self.find_receiver(&entry) else {
             return Some((entry.address, None));
--- a/crates/scheduler/tests/takeover.rs
+++ b/crates/scheduler/tests/takeover.rs
@@ -245,7 +245,9 @@
     };
     harness.report(index, vec![], vec![end]);
     assert_eq!(
-        harness.planner.confirmed_ends(harness.workers[index]),
+        harness
+            .planner
+            .confirmed_ends(harness.workers[index], harness.now_ms),
         0,
         "not before it is stored"
     );
@@ -253,7 +255,12 @@
     assert!(starts(&orders).is_empty());
     assert_eq!(flush.writes[0].record.state, JobState::Completed);
     harness.planner.complete_flush(flush, harness.now_ms);
-    assert_eq!(harness.planner.confirmed_ends(harness.workers[index]), 7);
+    assert_eq!(
+        harness
+            .planner
+            .confirmed_ends(harness.workers[index], harness.now_ms),
+        7
+    );
 }
 
 #[test]
--- a/crates/scheduler/tests/worker_restarts.rs
+++ b/crates/scheduler/tests/worker_restarts.rs
@@ -254,10 +254,20 @@
             .grant_lease(answering, site.harness.now_ms),
         lease_end
     );
-    assert_eq!(site.harness.planner.confirmed_ends(answering), 0);
+    assert_eq!(
+        site.harness
+            .planner
+            .confirmed_ends(answering, site.harness.now_ms),
+        0
+    );
     let orders = site.plan();
     assert_eq!((starts(&orders), stops(&orders)), (vec![], vec![]));
-    assert_eq!(site.harness.planner.confirmed_ends(answering), 0);
+    assert_eq!(
+        site.harness
+            .planner
+            .confirmed_ends(answering, site.harness.now_ms),
+        0
+    );
     site.play(LONGER_THAN_LEASE_MS);
     assert_eq!(site.runs_started(first.id), vec![1, 2]);
     assert_eq!(site.find_runs(first.id), vec![first_home]);
@@ -282,7 +292,10 @@
         site.harness
             .planner
             .complete_flush(flush.take().unwrap(), now_ms);
-        let confirmed = site.harness.planner.confirmed_ends(site.keys_of(home)[0]);
+        let confirmed = site
+            .harness
+            .planner
+            .confirmed_ends(site.keys_of(home)[0], now_ms);
         assert_eq!(confirmed, 41);
     }
     site.workers[home].restart(now_ms);
@@ -303,15 +316,44 @@
     assert_nothing_confirmed(&site, home);
     site.plan();
     let confirmed = site.keys_of(home);
-    let mut confirmed = confirmed
-        .iter()
-        .map(|key| site.harness.planner.confirmed_ends(*key));
+    let mut confirmed = confirmed.iter().map(|key| {
+        site.harness
+            .planner
+            .confirmed_ends(*key, site.harness.now_ms)
+    });
     assert!(confirmed.any(|number| number == 1));
     assert_eq!(site.state(second.id), JobState::Completed);
 }
 
+/// Guards against TWICE: a worker restarts while its ends are being stored, and the confirmation makes the next incarnation
+/// forget ends of its own.
+#[test]
+fn ends_are_not_confirmed_to_worker_that_may_have_restarted_while_they_were_stored() {
+    let mut site = LiveSite::new(1);
+    let home = site.run_job(task_job(1));
+    site.workers[home].finish_runs();
+    site.harness.now_ms += 10;
+    site.renew_all();
+    let (_, flush) = site.harness.plan_without_store();
+    site.harness.now_ms += 200;
+    let key = site.keys_of(home)[0];
+    let planner = &mut site.harness.planner;
+    planner.complete_flush(flush, site.harness.now_ms);
+    assert_eq!(planner.confirmed_ends(key, site.harness.now_ms), 0);
+    assert!(planner.has_unconfirmable_ends(key, site.harness.now_ms));
+    site.renew_all();
+    let planner = &site.harness.planner;
+    assert_eq!(planner.confirmed_ends(key, site.harness.now_ms), 1);
+    assert!(!planner.has_unconfirmable_ends(key, site.harness.now_ms));
+}
+
 fn assert_nothing_confirmed(site: &LiveSite, index: usize) {
     for key in site.keys_of(index) {
-        assert_eq!(site.harness.planner.confirmed_ends(key), 0);
+        assert_eq!(
+            site.harness
+                .planner
+                .confirmed_ends(key, site.harness.now_ms),
+            0
+        );
     }
 }
