Answer by no older configuration than a peer did

Cause: the node did not learn the version by which its peer answered. Once no peer could be asked, it used its own, confirmed within 2.7 s. Change: a peer's answer names its version, and the node uses no older one from then on. Nodes of different builds do not answer one another's passed calls. Measured: call_answered_through_peer_is_not_answered_by_older_configuration_later failed before (401 after 410), passes now.

--- a/crates/control/src/configuration_cache.rs
+++ b/crates/control/src/configuration_cache.rs
@@ -17,6 +17,15 @@
     active: Option<ActiveConfiguration>,
     /// When the last call that confirmed it was sent.
     confirmed_ms: u64,
+    /// The newest version by which a peer has answered a call for this node.
+    peers_version: u64,
+}
+
+impl State {
+    fn version(&self) -> u64 {
+        let active = self.active.as_ref();
+        active.map_or(0, |active| active.configuration.version)
+    }
 }
 
 /// The configuration in force and the time of its last confirmation.
@@ -52,10 +61,25 @@
         }
     }
 
-    /// Returns the configuration, if it was confirmed at or after `since_ms`.
+    /// Records that a peer has answered a call for this node by this version. Callers have seen it, so an older one is no
+    /// longer used.
+    pub fn record_peers_version(&self, version: u64) {
+        if let Ok(mut state) = self.state.lock() {
+            state.peers_version = state.peers_version.max(version);
+        }
+    }
+
+    /// Returns the oldest version by which a call may be answered.
+    pub fn least_version(&self) -> u64 {
+        self.state
+            .lock()
+            .map_or(0, |state| state.version().max(state.peers_version))
+    }
+
+    /// Returns the configuration, if it was confirmed at or after `since_ms` and no peer has answered by a newer one.
     pub fn confirmed_since(&self, since_ms: u64) -> Option<ActiveConfiguration> {
         let state = self.state.lock().ok()?;
-        if state.confirmed_ms < since_ms {
+        if state.confirmed_ms < since_ms || state.version() < state.peers_version {
             return None;
         }
         state.active.clone()
@@ -63,13 +87,9 @@
 
     /// Returns the version in force (0 for none), and when the last call that confirmed it was sent.
     pub fn version_and_confirmation(&self) -> (u64, u64) {
-        self.state.lock().map_or((0, 0), |state| {
-            let version = state
-                .active
-                .as_ref()
-                .map_or(0, |active| active.configuration.version);
-            (version, state.confirmed_ms)
-        })
+        self.state
+            .lock()
+            .map_or((0, 0), |state| (state.version(), state.confirmed_ms))
     }
 
     /// Returns the configuration, regardless of its last confirmation.
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -70,11 +70,19 @@
     least_version: u64,
 }
 
+/// A peer's answer to a call that was passed on.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct PassedReply {
+    reply: Reply,
+    /// Version of the configuration by which the peer answered.
+    version: u64,
+}
+
 /// The calls between nodes.
 #[tarpc::service]
 trait Peer {
     /// Answers a caller's call for a node that cannot reach the store; none if this node cannot answer either.
-    async fn answer(call: PassedCall) -> Option<Reply>;
+    async fn answer(call: PassedCall) -> Option<PassedReply>;
 
     /// Asks this node to release the lead to a node whose VM has this much processor, in thousandths of a core.
     async fn yield_lead(processor_millis: u32);
@@ -192,9 +200,14 @@
             method: method.to_string(),
             body: body.to_vec(),
             left_ms,
-            least_version: node.configuration.version_and_confirmation().0,
+            least_version: node.configuration.least_version(),
         };
-        match ask_peer(address, passed, left_ms.min(PASS_TIMEOUT_MS)).await {
+        let answer = ask_peer(address, passed, left_ms.min(PASS_TIMEOUT_MS)).await;
+        let answer = answer.map(|answered| {
+            node.configuration.record_peers_version(answered.version);
+            answered.reply
+        });
+        match answer {
             PeerAnswer::Answered(Some(Reply::Refused { .. })) if unknown => break,
             PeerAnswer::Answered(Some(reply)) if !reply.is_store_failure() => return Some(reply),
             PeerAnswer::Answered(Some(Reply::OutcomeUnknown)) | PeerAnswer::NoAnswer => {
@@ -209,15 +222,26 @@
 }
 
 /// The outcome of asking one peer.
-enum PeerAnswer {
+enum PeerAnswer<R> {
     /// The peer answered; none if it cannot answer the call either.
-    Answered(Option<Reply>),
+    Answered(Option<R>),
     /// Nothing was sent.
     NotReached,
     /// The call was sent but is unanswered.
     NoAnswer,
 }
 
+impl<R> PeerAnswer<R> {
+    /// Applies a function to the answer, if there is one.
+    fn map<S>(self, apply: impl FnOnce(R) -> S) -> PeerAnswer<S> {
+        match self {
+            PeerAnswer::Answered(reply) => PeerAnswer::Answered(reply.map(apply)),
+            PeerAnswer::NotReached => PeerAnswer::NotReached,
+            PeerAnswer::NoAnswer => PeerAnswer::NoAnswer,
+        }
+    }
+}
+
 /// Connects to a peer; none if that fails.
 async fn connect_to_peer(address: SocketAddrV4) -> Option<PeerClient> {
     let connect = tcp::connect(address, Bincode::default);
@@ -236,7 +260,11 @@
     }
 }
 
-async fn ask_peer(address: SocketAddrV4, passed: PassedCall, timeout_ms: u64) -> PeerAnswer {
+async fn ask_peer(
+    address: SocketAddrV4,
+    passed: PassedCall,
+    timeout_ms: u64,
+) -> PeerAnswer<PassedReply> {
     let Some(peer) = connect_to_peer(address).await else {
         return PeerAnswer::NotReached;
     };
@@ -253,7 +281,7 @@
 struct PeerServer(Arc<Node>);
 
 impl Peer for PeerServer {
-    async fn answer(self, _: Context, passed: PassedCall) -> Option<Reply> {
+    async fn answer(self, _: Context, passed: PassedCall) -> Option<PassedReply> {
         let node = &self.0;
         // A planned stop waits for passed calls too, not only for those of this node's own callers.
         let _active = ActiveRequest::begin(node);
@@ -275,7 +303,9 @@
         if !reply.is_store_failure() {
             node.metrics.count(Counter::AnsweredForPeer);
         }
-        Some(reply)
+        // A newer version may have come into force while the call was handled.
+        let version = node.configuration.version_and_confirmation().0;
+        Some(PassedReply { reply, version })
     }
 
     async fn yield_lead(self, _: Context, processor_millis: u32) {
--- a/crates/control/tests/passing.rs
+++ b/crates/control/tests/passing.rs
@@ -16,6 +16,9 @@
 /// Time between two probes of whether the cut node knows its peer; the node can reach the store meanwhile.
 const PROBE_PAUSE: Duration = Duration::from_millis(300);
 
+/// Longer than a watch of the configuration waits.
+const WATCH_IN_FLIGHT: Duration = Duration::from_millis(1_050);
+
 /// Returns whether a node passes a call on to its peer.
 async fn passes_on(site: &Site, at: usize) -> bool {
     let before = site.count_passed_on(at).await;
@@ -141,3 +144,28 @@
     })
     .await;
 }
+
+/// Guards against CONFIG: a node that is cut off answers by a newer configuration through its peer, and by its own older
+/// one once no peer can be asked.
+#[tokio::test(flavor = "multi_thread")]
+async fn call_answered_through_peer_is_not_answered_by_older_configuration_later() {
+    let (site, store_endpoint, cut) = site_with_cut_node().await;
+    store_endpoint.set_fault(StoreFault::Busy);
+    tokio::time::sleep(WATCH_IN_FLIGHT).await;
+    site.store
+        .write("op/config", &configuration(2, &["newer-key"]));
+    site.wait("the peer knows the new configuration", async |site| {
+        site.submit(0, 1, 1).await == 401
+    })
+    .await;
+    let path = format!("/q/{:016x}", 2);
+    let ask = async || {
+        let answer = site.call(cut, "GET", &path, "newer-key", String::new());
+        answer.await.unwrap().status()
+    };
+    assert_eq!(ask().await, 410, "the peer answers");
+    site.store.set_fault(StoreFault::Busy);
+    for _ in 0..40 {
+        assert_eq!(ask().await, 503);
+    }
+}
