Log jobs of which nothing runs, and what a planner could not store when its term ends

- 'idle', once for each job and time, 16 lines a second at most: what the job waits for after 3 s.
- 'done, not stored' at the end of a term: runs that workers have listed as done and that are in no record.

--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -48,6 +48,9 @@
                 ),
             );
         }
+        if ended.outcome == RunOutcome::Done {
+            self.note_unstored_done(worker, ended);
+        }
         match ended.outcome {
             RunOutcome::Done if is_done_late => self.finish_late(key, worker, now_ms),
             RunOutcome::Done => self.finish_task(key, worker, now_ms),
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -52,6 +52,10 @@
     pub dirty: bool,
     /// Whether the last record says that the job has ended and nothing runs; the job is removed once it is stored.
     pub over: bool,
+    /// Since when nothing of it has run although a task could, as far as that was checked.
+    pub idle_since_ms: Option<u64>,
+    /// Whether that was logged.
+    pub is_idle_logged: bool,
 }
 
 impl Job {
@@ -76,6 +80,8 @@
             groups,
             dirty: false,
             over: false,
+            idle_since_ms: None,
+            is_idle_logged: false,
         }
     }
 
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -13,6 +13,7 @@
 mod group;
 mod headroom;
 mod health;
+mod idle;
 mod job;
 mod leaving;
 mod listing;
@@ -32,6 +33,7 @@
 mod spec;
 mod task;
 mod unplaceable;
+mod unstored;
 mod urgent;
 mod withdraw;
 mod worker;
@@ -49,6 +51,7 @@
 pub use record::{GroupRecord, JobRecord, StoredJob, StoredWorker, TaskRecord};
 pub use spec::{JobRequest, Resources, SpecError, StepSpec, Timing};
 pub use task::{JobId, NameError, TaskName};
+pub use unstored::DoneRun;
 pub use worker::{
     ActiveRun, EndedRun, LEASE_LENGTH_MARGIN_MS, RenewalReport, RunOutcome, WorkerEntry, WorkerKey,
     WorkerList,
--- a/crates/scheduler/src/planner.rs
+++ b/crates/scheduler/src/planner.rs
@@ -10,6 +10,7 @@
 use crate::orders::{Flush, Order, RecordWrite, StoredEnds};
 use crate::spec::Resources;
 use crate::task::JobId;
+use crate::unstored::UnstoredDone;
 use crate::urgent::UrgentArrivals;
 use crate::worker::{LEASE_EXPIRY_MARGIN_MS, Racks, Worker, WorkerKey};
 
@@ -119,6 +120,10 @@
     pub(crate) urgent: UrgentArrivals,
     /// Times from submission to first start, in milliseconds, that were not taken yet.
     pub(crate) first_start_ms: Vec<u64>,
+    /// When the jobs were last looked through for idle ones.
+    pub(crate) idle_checked_ms: u64,
+    /// Runs that workers list as done and that are not in the store yet.
+    pub(crate) unstored_done: Vec<UnstoredDone>,
 }
 
 impl Planner {
@@ -151,6 +156,8 @@
             urgent_service: None,
             urgent: UrgentArrivals::default(),
             first_start_ms: Vec::new(),
+            idle_checked_ms: now_ms,
+            unstored_done: Vec::new(),
         }
     }
 
@@ -291,6 +298,7 @@
             }
         }
         for ends in flush.ends {
+            self.drop_stored_done(&ends);
             // The next incarnation numbers its ends anew.
             if let Some(worker) = self.workers.get_mut(ends.worker)
                 && worker.entry.born_unix_ms == ends.born_unix_ms
--- a/crates/scheduler/src/schedule.rs
+++ b/crates/scheduler/src/schedule.rs
@@ -58,6 +58,7 @@
             self.request_advice(group, now_ms);
         }
         self.refill_headroom(now_ms);
+        self.report_idle_jobs(now_ms);
     }
 
     /// Returns the groups with tasks that are ready to start, by priority and then in the order of acceptance.
