--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -102,19 +102,25 @@
             client: Client::new(),
             machines: None,
         };
-        for number in 0..workers {
-            let worker = WorkerStandIn::start(&format!("i-{number}"), run_for, site.audit.clone())
-                .await
-                .unwrap();
-            let (key, entry) = worker.entry();
-            site.store.write(&key, &entry);
-            site.workers.push(worker);
+        for _ in 0..workers {
+            site.add_worker(run_for).await;
         }
         site.store
             .write("op/config", &platform_standin::configuration(1, &[KEY]));
         site
     }
 
+    /// Starts another worker, whose tasks take `run_for`, and lists it.
+    pub async fn add_worker(&mut self, run_for: Duration) {
+        let id = format!("i-{}", self.workers.len());
+        let worker = WorkerStandIn::start(&id, run_for, self.audit.clone())
+            .await
+            .unwrap();
+        let (key, entry) = worker.entry();
+        self.store.write(&key, &entry);
+        self.workers.push(worker);
+    }
+
     /// Starts another node, and waits until it is ready; returns its index.
     pub async fn add_node(&mut self) -> usize {
         self.add_node_at(self.store.address()).await
