Hear what ends between two terms, and hand it over to the next planner

Cause: a planner hears the ends of runs, or would hear them, at a time when nobody can store them. It gives up 4 s after its lead, and no other node can take the lead before the store is back. What workers list in between is heard by nobody, and what was heard is forgotten with the term. A worker that leaves or crashes before the next planner asks it takes its ends with it: the next planner waits for the lease, 14.8 s, and runs the tasks once more, while the rest of the job waits.

Change: the node of a term that has ended goes on asking the workers, without a lease and without confirmations, until they have heard the next planner or their leases must have ended, and writes what is done under q/e/ in the store. The next planner takes it in like a late end, and removes it with the records that hold it.

Tests of scheduler and control hold.

--- a/crates/control/src/keys.rs
+++ b/crates/control/src/keys.rs
@@ -6,12 +6,13 @@
 //! | `chain` | the term and number of the planner's last write | the planner, with each write | never |
 //! | `q/j/ID` | the accepted job | the node that accepts it | by the planner, once the job has ended |
 //! | `q/c/ID` | empty; present if its caller cancelled the job | the node that receives the cancel | with `q/j/ID` |
+//! | `q/e/TERM-N` | runs that workers had listed as done to the planner of a term that has ended | that planner's node | by the next planner, with the records that hold them |
 //! | `n/ID` | the job's queue, while nothing of it has begun | the node that accepts it | by the planner |
 //! | `peers/NODE` | where the node takes calls of its peers, and its processor | each node, under a lease | with the lease |
 //! | `waves/N` | the progress of each machine in a wave of maintenance | the planner, before it empties a machine and after it went down | never |
 //! | `r/ID` | the job's record: its state and groups | the planner | some time after the job's end |
 
-use scheduler::JobId;
+use scheduler::{HandOverName, JobId};
 
 /// Key of the lead.
 pub(crate) const LEAD: &str = "lead/planner";
@@ -25,6 +26,8 @@
 pub(crate) const JOBS_PREFIX: &str = "q/j/";
 /// Cancelled jobs.
 pub(crate) const CANCELS_PREFIX: &str = "q/c/";
+/// What planners hand over to the next one.
+pub(crate) const HAND_OVERS_PREFIX: &str = "q/e/";
 /// Jobs that have not begun.
 pub(crate) const WAITING_PREFIX: &str = "n/";
 /// The planner's records of jobs.
@@ -62,3 +65,8 @@
 pub(crate) fn record(id: JobId) -> String {
     format!("{RECORDS_PREFIX}{id}")
 }
+
+/// Returns the key of what a planner hands over.
+pub(crate) fn hand_over(name: HandOverName) -> String {
+    format!("{HAND_OVERS_PREFIX}{name}")
+}
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -52,6 +52,8 @@
     LeadsTaken,
     /// Terms of this node as leader that ended.
     LeadsLost,
+    /// Runs listed as done that this node handed over to the next planner after its own term had ended.
+    RunsHandedOver,
     /// Unanswered renewals of workers' leases.
     HoldsUnanswered,
     /// Renewals that a worker with another id answered.
@@ -136,6 +138,11 @@
         self.counters[counter as usize].fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Adds to a counter.
+    pub fn add(&self, counter: Counter, count: u64) {
+        self.counters[counter as usize].fetch_add(count, Ordering::Relaxed);
+    }
+
     /// Sets a counter whose value is maintained elsewhere.
     pub fn set(&self, counter: Counter, value: u64) {
         self.counters[counter as usize].store(value, Ordering::Relaxed);
--- a/crates/control/src/record_writer.rs
+++ b/crates/control/src/record_writer.rs
@@ -76,6 +76,13 @@
             txn.puts.extend(puts);
             txn.removals.extend(removals);
         }
+        for name in &flush.taken_in {
+            if txn.entries() == Txn::MAX_ENTRIES {
+                self.commit(term, txn).await?;
+                txn = self.start_txn(term);
+            }
+            txn.removals.push(keys::hand_over(*name));
+        }
         let keep_ms = term.node.settings.bounds.keep_ended_s * 1000 + KEEP_MARGIN_MS;
         let due = |ended: &VecDeque<(JobId, u64)>| {
             ended
--- a/crates/control/src/request_watch.rs
+++ b/crates/control/src/request_watch.rs
@@ -8,6 +8,7 @@
 use scheduler::{JobId, StoredJob};
 
 use crate::clock::now_ms;
+use crate::hand_over::take_in_hand_over;
 use crate::keys;
 use crate::metrics::Counter;
 use crate::takeover::log_unreadable_item;
@@ -75,6 +76,8 @@
         .and_then(|id| id.parse().ok())
     {
         term.lock_planner().cancel_job(id, now_ms());
+    } else if item.key.starts_with(keys::HAND_OVERS_PREFIX) {
+        take_in_hand_over(&mut term.lock_planner(), &term.node, item);
     } else {
         match serde_json::from_slice::<StoredJob>(&item.value) {
             Ok(stored) => term.lock_planner().add_job(stored, item.created, now_ms()),
@@ -91,10 +94,10 @@
         .store
         .read_all(keys::REQUESTS_PREFIX, CALL_TIMEOUT_MS)
         .await?;
-    let (cancels, jobs): (Vec<&Item>, Vec<&Item>) = items
+    let (jobs, others): (Vec<&Item>, Vec<&Item>) = items
         .iter()
-        .partition(|item| item.key.starts_with(keys::CANCELS_PREFIX));
-    for item in jobs.into_iter().chain(cancels) {
+        .partition(|item| item.key.starts_with(keys::JOBS_PREFIX));
+    for item in jobs.into_iter().chain(others) {
         apply_request(term, item);
     }
     Ok(revision)
--- a/crates/control/src/takeover.rs
+++ b/crates/control/src/takeover.rs
@@ -8,6 +8,7 @@
 use serde_json::Value;
 
 use crate::clock::now_ms;
+use crate::hand_over::take_in_hand_over;
 use crate::keys;
 use crate::node::Node;
 use crate::record_writer::RecordWriter;
@@ -80,7 +81,7 @@
             ),
         }
     }
-    let mut cancels = Vec::new();
+    let (mut cancels, mut hand_overs) = (Vec::new(), Vec::new());
     let mut stored_jobs = HashSet::new();
     for item in requests {
         if let Some(id) = item
@@ -91,6 +92,10 @@
             cancels.push(id);
             continue;
         }
+        if item.key.starts_with(keys::HAND_OVERS_PREFIX) {
+            hand_overs.push(item);
+            continue;
+        }
         match serde_json::from_slice::<StoredJob>(&item.value) {
             Ok(stored) => {
                 stored_jobs.insert(stored.id);
@@ -100,6 +105,9 @@
             Err(e) => log_unreadable_item(node, item, &e.to_string()),
         }
     }
+    for item in hand_overs {
+        take_in_hand_over(planner, node, item);
+    }
     for id in cancels {
         planner.cancel_job(id, now_ms());
     }
--- a/crates/control/src/term.rs
+++ b/crates/control/src/term.rs
@@ -10,6 +10,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::clock::{now_ms, unix_ms};
+use crate::hand_over::hand_over;
 use crate::lead::{LEASE_MARGIN_MS, Lead, RENEW_EVERY_MS, RENEW_TIMEOUT_MS, lead_ttl_ms};
 use crate::listing::{READ_EVERY_MS, follow_workers};
 use crate::metrics::{Counter, Timing};
@@ -34,9 +35,6 @@
 /// A planning pass that takes longer than this is logged: the node's callers and its renewals wait for as long.
 const LONG_PASS_MS: u64 = 250;
 
-/// The most runs that one line of the log names.
-const MAX_NAMED_RUNS: usize = 20;
-
 /// Delay before retrying after a failed call.
 const RETRY_PAUSE_MS: u64 = 60;
 
@@ -109,31 +107,10 @@
         why = load_and_plan(&term, began_ms) => why,
     };
     term.cancellation.cancel();
-    report_unstored_done(&term);
+    tokio::spawn(hand_over(term));
     why
 }
 
-/// Logs what the planner knew to be done and could not store.
-fn report_unstored_done(term: &Term) {
-    let done = term.lock_planner().list_unstored_done();
-    if done.is_empty() {
-        return;
-    }
-    let names: Vec<Value> = done
-        .iter()
-        .take(MAX_NAMED_RUNS)
-        .map(|run| Value::from(format!("{} run {}", run.task, run.run)))
-        .collect();
-    let fields = [
-        ("term", Value::from(term.lead.term)),
-        ("count", Value::from(done.len())),
-        ("first", Value::from(names)),
-    ];
-    term.node
-        .log
-        .general("planner", "done, not stored", &fields);
-}
-
 pub(crate) fn planner_limits(node: &Node) -> Limits {
     let bounds = &node.settings.bounds;
     Limits {
--- a/crates/control/tests/ends_between_terms.rs
+++ b/crates/control/tests/ends_between_terms.rs
@@ -57,13 +57,11 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "known red: issue 34"]
 async fn task_done_before_the_term_ends_does_not_run_again() {
     task_done_in_outage(false).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "known red: issue 34"]
 async fn task_done_after_the_term_ended_does_not_run_again() {
     task_done_in_outage(true).await;
 }
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -50,10 +50,13 @@
         }
         if ended.outcome == RunOutcome::Done {
             self.note_unstored_done(worker, ended);
+            if let Some(worker) = self.workers.get_mut(worker) {
+                worker.health.record_success();
+            }
         }
         match ended.outcome {
-            RunOutcome::Done if is_done_late => self.finish_late(key, worker, now_ms),
-            RunOutcome::Done => self.finish_task(key, worker, now_ms),
+            RunOutcome::Done if is_done_late => self.finish_late(key, now_ms),
+            RunOutcome::Done => self.finish_task(key, now_ms),
             outcome => self.fail_task(key, worker, outcome, &ended.progress, now_ms),
         }
     }
@@ -74,11 +77,8 @@
 
     /// Marks a task as done; for a gang member, the whole gang. A task that runs until its job is cancelled waits for
     /// its next start instead. A task that runs until its job is cancelled waits for its next start instead.
-    fn finish_task(&mut self, key: TaskKey, worker: WorkerKey, now_ms: u64) {
+    pub(crate) fn finish_task(&mut self, key: TaskKey, now_ms: u64) {
         self.counts.done += 1;
-        if let Some(worker) = self.workers.get_mut(worker) {
-            worker.health.record_success();
-        }
         let lasting = self.jobs[key.group.job]
             .step_of(key.group.group as usize)
             .lasting;
@@ -94,15 +94,12 @@
 
     /// Marks a task, or its gang, as done by an earlier run than the current one, which is stopped. A task that runs until
     /// its job is cancelled goes on.
-    fn finish_late(&mut self, key: TaskKey, worker: WorkerKey, now_ms: u64) {
+    pub(crate) fn finish_late(&mut self, key: TaskKey, now_ms: u64) {
         let job = &self.jobs[key.group.job];
         if job.state.is_final() || job.step_of(key.group.group as usize).lasting {
             return;
         }
         self.counts.done += 1;
-        if let Some(worker) = self.workers.get_mut(worker) {
-            worker.health.record_success();
-        }
         let gang = self.is_gang(key.group);
         let tasks = match gang {
             true => self.list_tasks(key.group),
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -51,7 +51,7 @@
 pub use record::{GroupRecord, JobRecord, StoredJob, StoredWorker, TaskRecord};
 pub use spec::{JobRequest, Resources, SpecError, StepSpec, Timing};
 pub use task::{JobId, NameError, TaskName};
-pub use unstored::DoneRun;
+pub use unstored::{DoneRun, HandOverName};
 pub use worker::{
     ActiveRun, EndedRun, LEASE_LENGTH_MARGIN_MS, RenewalReport, RunOutcome, WorkerEntry, WorkerKey,
     WorkerList,
--- a/crates/scheduler/src/orders.rs
+++ b/crates/scheduler/src/orders.rs
@@ -5,6 +5,7 @@
 use crate::group::{GroupKey, TaskKey};
 use crate::record::JobRecord;
 use crate::task::{JobId, TaskName};
+use crate::unstored::HandOverName;
 use crate::worker::WorkerKey;
 
 /// An order that the planner wants carried out.
@@ -147,6 +148,8 @@
     pub(crate) ends: Vec<StoredEnds>,
     /// Workers that no record says to be leaving afterwards.
     pub(crate) staying: Vec<WorkerKey>,
+    /// What earlier planners have handed over and these records hold; it can be removed with them.
+    pub taken_in: Vec<HandOverName>,
 }
 
 /// The ended runs of one incarnation of a worker, up to a number.
@@ -160,6 +163,9 @@
 impl Flush {
     /// Returns whether there is nothing to store, send or confirm.
     pub fn is_empty(&self) -> bool {
-        self.writes.is_empty() && self.starts.is_empty() && self.ends.is_empty()
+        self.writes.is_empty()
+            && self.starts.is_empty()
+            && self.ends.is_empty()
+            && self.taken_in.is_empty()
     }
 }
--- a/crates/scheduler/src/planner.rs
+++ b/crates/scheduler/src/planner.rs
@@ -10,7 +10,7 @@
 use crate::orders::{Flush, Order, RecordWrite, StoredEnds};
 use crate::spec::Resources;
 use crate::task::JobId;
-use crate::unstored::UnstoredDone;
+use crate::unstored::{HandOverName, UnstoredDone};
 use crate::urgent::UrgentArrivals;
 use crate::worker::{LEASE_EXPIRY_MARGIN_MS, Racks, Worker, WorkerKey};
 
@@ -124,6 +124,8 @@
     pub(crate) idle_checked_ms: u64,
     /// Runs that workers list as done and that are not in the store yet.
     pub(crate) unstored_done: Vec<UnstoredDone>,
+    /// What earlier planners have handed over and the next flush stores.
+    pub(crate) taken_in: Vec<HandOverName>,
 }
 
 impl Planner {
@@ -158,6 +160,7 @@
             first_start_ms: Vec::new(),
             idle_checked_ms: now_ms,
             unstored_done: Vec::new(),
+            taken_in: Vec::new(),
         }
     }
 
@@ -269,6 +272,7 @@
             starts,
             ends,
             staying,
+            taken_in: std::mem::take(&mut self.taken_in),
         }
     }
 
--- a/crates/scheduler/src/task.rs
+++ b/crates/scheduler/src/task.rs
@@ -15,6 +15,9 @@
     /// A task name does not have the form `ID.OCCURRENCE.STEP.INDEX`.
     #[error("a task's name has the form ID.OCCURRENCE.STEP.INDEX")]
     Task,
+    /// The name of a hand-over does not have the form `TERM-NUMBER`.
+    #[error("the name of a hand-over has the form TERM-NUMBER")]
+    HandOver,
 }
 
 /// Identifier of a job, chosen by its caller.
@@ -50,7 +53,8 @@
 }
 
 /// Name of a task.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
 pub struct TaskName {
     /// The job.
     pub job: JobId,
@@ -91,3 +95,17 @@
         }
     }
 }
+
+impl From<TaskName> for String {
+    fn from(name: TaskName) -> String {
+        name.to_string()
+    }
+}
+
+impl TryFrom<String> for TaskName {
+    type Error = NameError;
+
+    fn try_from(text: String) -> Result<Self, NameError> {
+        text.parse()
+    }
+}
