Try quarantined workers for lasting tasks also after an urgent job found no room

What callers saw: a lasting task has nothing running for as long as the only worker with room is quarantined (up to 24 s) while an urgent job that needs as much waits too (LOST).

Cause: within a pass the planner remembers which shapes found no room. Urgent groups and overdue lasting ones were remembered as having the same access to capacity, but only the latter may use quarantined workers, so the urgent group's failure covered them.

Change: a level of access of its own for groups that may use quarantined workers.

--- a/crates/scheduler/src/schedule.rs
+++ b/crates/scheduler/src/schedule.rs
@@ -234,7 +234,9 @@
     /// Returns the shape of a group of which `count` tasks have to fit at the same time.
     fn shape(&self, group: GroupKey, count: usize, extent: Extent, now_ms: u64) -> Shape {
         let job = &self.jobs[group.job];
-        let access = if self.may_use_all_capacity(group, now_ms) {
+        let access = if self.is_overdue_lasting(group, now_ms) {
+            Access::Quarantined
+        } else if self.may_use_all_capacity(group, now_ms) {
             Access::All
         } else if self.may_use_headroom(group, now_ms) {
             Access::Headroom
--- a/crates/scheduler/src/unplaceable.rs
+++ b/crates/scheduler/src/unplaceable.rs
@@ -14,6 +14,8 @@
     Headroom,
     /// All of it; for urgent groups.
     All,
+    /// All of it, at quarantined workers too.
+    Quarantined,
 }
 
 /// Where the tasks of a shape have to fit.
--- a/crates/scheduler/tests/lasting.rs
+++ b/crates/scheduler/tests/lasting.rs
@@ -177,6 +177,30 @@
     assert_eq!(starts(&site.wait_for_orders(LONGEST_IDLE_MS)).len(), 1);
 }
 
+/// The urgent job needs as much, waits as long, and finds no room before it since it may not use quarantined workers.
+#[test]
+fn lasting_task_starts_at_quarantined_worker_beside_urgent_job_that_waits() {
+    let mut site = Site::new(1);
+    site.submit(1, lasting_step(1));
+    for _ in 0..4 {
+        let orders = site.wait_for_orders(30_000);
+        let outcome = StartOutcome::Unhealthy;
+        site.harness.report_start_outcome(&orders[0], outcome);
+    }
+    let urgent = job(100, 0, vec![step(1, 1)]);
+    let now_ms = site.harness.now_ms;
+    site.harness.planner.add_job(urgent, 100, now_ms);
+    let mut started = Vec::new();
+    for _ in 0..LONGEST_IDLE_MS / PASS_MS {
+        started.extend(starts(&site.wait_for_orders(PASS_MS)));
+    }
+    assert!(
+        started
+            .iter()
+            .any(|(name, _)| name.starts_with("0000000000000001."))
+    );
+}
+
 /// Tasks of a gang that run slower on several racks.
 #[test]
 fn lasting_gang_is_spread_over_racks_that_are_nearly_full() {
