Start a job of which nothing runs wherever there is room after 1.5 s

What callers saw: a job makes no progress for longer than 3 s beside capacity that would hold it twice, while less than half of the service is in use (LOST).

Cause: work that ends waits for its rack (twice its estimate), outside the headroom (40 or 90% of its slack), outside what waiting urgent groups withhold, and for quarantined workers (up to 24 s); only lasting tasks had a bound.

Change: the bound of lasting tasks holds for all work (overdue.rs): each group is tried in its usual places first, then, if it is overdue, anywhere; of work that ends one task, or a whole gang, and only while the service is less than half used. Use and idleness are found out once a pass. Preemptions no longer plan on quarantined workers, which their reservations refuse.

A trial in which all resources had to be half used also while urgent work comes failed urgent_gangs_start_at_once_under_background_load.

--- a/crates/scheduler/src/fit.rs
+++ b/crates/scheduler/src/fit.rs
@@ -1,6 +1,7 @@
 //! Finds the workers that can run a task, and the best of them.
 
 use crate::group::GroupKey;
+use crate::overdue::Reach;
 use crate::planner::Planner;
 use crate::spec::Resources;
 use crate::worker::{RackKey, Worker, WorkerKey};
@@ -15,6 +16,10 @@
     pub slots_left: u32,
     /// Free accelerators on its whole rack.
     pub rack_free: i64,
+    /// Whether the worker is quarantined; such workers are chosen if no other has room.
+    pub quarantined: bool,
+    /// Whether the worker is away from the data of the group.
+    pub off_rack: bool,
     /// Whether runs failed on the worker recently, or a task there may crash it; such workers are chosen last.
     pub recently_failed: bool,
     /// Whether nothing runs on the worker, and nothing of the group was placed there.
@@ -34,12 +39,15 @@
         self.empty = false;
     }
 
-    /// Returns the sort key; the lowest is the best: a worker without recent failures, on the rack with the fewest free
-    /// accelerators, with the least free capacity left. This keeps whole racks free for gangs.
-    pub fn rank(&self, need: &Resources) -> (bool, i64, i64, i64) {
+    /// Returns the sort key; the lowest is the best: a worker that is not quarantined, without recent failures, on
+    /// the rack of the data, on the rack with the fewest free accelerators, with the least free capacity left. This keeps
+    /// whole racks free for gangs.
+    pub fn rank(&self, need: &Resources) -> (bool, bool, bool, i64, i64, i64) {
         let left = self.free.minus(need);
         (
+            self.quarantined,
             self.recently_failed,
+            self.off_rack,
             self.rack_free,
             left.accelerators,
             left.cpu_millis,
@@ -118,10 +126,7 @@
 
     /// Returns whether a worker takes new work and has answered lately.
     fn is_reachable(&self, worker: &Worker, now_ms: u64) -> bool {
-        self.is_open(worker)
-            && worker.fenced
-            && !worker.unresponsive
-            && worker.answered_ms + self.limits.unresponsive_ms >= now_ms
+        self.is_open(worker) && self.has_answered(worker, now_ms)
     }
 
     /// Returns whether a worker is listed and neither leaves nor is being emptied.
@@ -164,16 +169,17 @@
     }
 
     /// Returns the workers that may run tasks of a group now, in the order of their racks.
-    pub(crate) fn candidates(&self, group: GroupKey, now_ms: u64) -> Vec<Candidate> {
+    pub(crate) fn candidates(&self, group: GroupKey, reach: Reach, now_ms: u64) -> Vec<Candidate> {
         let mut free_by_rack: Vec<i64> = self.racks.table();
         let mut candidates = Vec::with_capacity(self.workers.len());
         let joins_suspects = self.may_join_suspects(group, now_ms);
-        let joins_quarantined = self.is_overdue_lasting(group, now_ms);
+        let data_rack = &self.jobs[group.job].step_of(group.group as usize).data_rack;
+        let data_rack = data_rack.as_ref().map(|rack| self.racks.find(rack));
         for (key, worker) in &self.workers {
             let is_held = self.is_held_by_suspect(worker);
             let is_trusted = worker.health.is_trusted(now_ms);
             if !self.is_reachable(worker, now_ms)
-                || !is_trusted && !joins_quarantined
+                || !is_trusted && reach == Reach::Usual
                 || is_held && !joins_suspects
             {
                 continue;
@@ -189,7 +195,9 @@
                 free,
                 slots_left: self.slots_left(group, worker),
                 rack_free: 0,
-                recently_failed: worker.health.has_recent_failure() || !is_trusted || is_held,
+                quarantined: !is_trusted,
+                off_rack: data_rack.is_some_and(|rack| rack != Some(worker.rack)),
+                recently_failed: worker.health.has_recent_failure() || is_held,
                 empty: worker.is_empty(),
             });
         }
--- a/crates/scheduler/src/headroom.rs
+++ b/crates/scheduler/src/headroom.rs
@@ -89,6 +89,8 @@
                 free: worker.free(),
                 slots_left: u32::MAX,
                 rack_free: 0,
+                quarantined: false,
+                off_rack: false,
                 recently_failed: worker.health.has_recent_failure(),
                 empty: worker.is_empty(),
             })
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -20,6 +20,7 @@
 mod maintenance;
 mod orders;
 mod outcomes;
+mod overdue;
 mod pace;
 mod planner;
 mod preempt;
--- a/crates/scheduler/src/preempt.rs
+++ b/crates/scheduler/src/preempt.rs
@@ -5,6 +5,7 @@
 use crate::fit::{Candidate, split_by_rack};
 use crate::group::{GroupKey, JobKey, Phase, TaskKey};
 use crate::job::Job;
+use crate::overdue::Reach;
 use crate::planner::Planner;
 use crate::spec::Resources;
 use crate::worker::WorkerKey;
@@ -218,7 +219,7 @@
     ) -> Option<PreemptionPlan> {
         let step = self.jobs[group.job].step_of(group.group as usize);
         let need = self.need(group);
-        let mut candidates = self.candidates(group, now_ms);
+        let mut candidates = self.candidates(group, Reach::Usual, now_ms);
         if let Some(rack) = &step.data_rack {
             let rack = self.racks.find(rack);
             candidates.retain(|candidate| Some(candidate.rack) == rack);
--- a/crates/scheduler/src/schedule.rs
+++ b/crates/scheduler/src/schedule.rs
@@ -7,6 +7,7 @@
 use crate::fit::{Candidate, find_best_candidate, find_places, find_places_on_one_rack};
 use crate::group::{GroupKey, JobKey, Phase, TaskKey};
 use crate::job::JobState;
+use crate::overdue::{IdleWork, Reach};
 use crate::planner::Planner;
 use crate::spec::Resources;
 use crate::unplaceable::{Access, Extent, Shape, Unplaceable};
@@ -15,11 +16,6 @@
 /// How long before its due time an occurrence may start; the platform tolerates 250 ms.
 const EARLY_START_MS: u64 = 0;
 
-/// How long a lasting task waits for capacity other than that withheld for urgent work, for its rack, and for a worker that
-/// is not quarantined. The platform
-/// lets it have nothing running for 3 s while there is room; half of that is reserved for storing and delivering the start.
-const LONGEST_LASTING_WAIT_MS: u64 = 1_500;
-
 /// Capacity that a pass withholds from work that is not urgent, and what found no room in it.
 #[derive(Debug, Default)]
 struct Withheld {
@@ -28,6 +24,7 @@
     /// Headroom on each worker; none until all waiting urgent groups were placed.
     headroom: Option<SecondaryMap<WorkerKey, Resources>>,
     unplaceable: Unplaceable,
+    idle_work: IdleWork,
 }
 
 impl Planner {
@@ -117,11 +114,12 @@
     fn list_available_candidates(
         &self,
         group: GroupKey,
+        reach: Reach,
         withheld: &Withheld,
         now_ms: u64,
     ) -> Vec<Candidate> {
-        let mut candidates = self.candidates(group, now_ms);
-        if self.may_use_all_capacity(group, now_ms) {
+        let mut candidates = self.candidates(group, reach, now_ms);
+        if reach == Reach::Anywhere || self.jobs[group.job].stored.priority == 0 {
             return candidates;
         }
         candidates.retain(|candidate| !withheld.workers.contains(&candidate.worker));
@@ -137,30 +135,37 @@
         candidates
     }
 
-    /// Starts what fits of a group.
+    /// Starts what fits of a group, and what is overdue wherever there is room.
     fn place_group(&mut self, group: GroupKey, withheld: &mut Withheld, now_ms: u64) {
-        match self.is_gang(group) {
-            true => self.place_gang(group, withheld, now_ms),
-            false => self.place_tasks(group, withheld, now_ms),
+        self.place_within(group, Reach::Usual, usize::MAX, withheld, now_ms);
+        let overdue = self.count_overdue(group, &mut withheld.idle_work, now_ms);
+        if overdue > 0 {
+            self.place_within(group, Reach::Anywhere, overdue, withheld, now_ms);
         }
     }
 
-    /// Returns whether a group may use the capacity that is withheld for urgent work: it is urgent itself, or lasts and
-    /// has waited for as long as it can.
-    fn may_use_all_capacity(&self, group: GroupKey, now_ms: u64) -> bool {
-        self.jobs[group.job].stored.priority == 0 || self.is_overdue_lasting(group, now_ms)
-    }
-
-    /// Returns whether lasting tasks have waited so long that they have to start wherever there is room.
-    pub(crate) fn is_overdue_lasting(&self, group: GroupKey, now_ms: u64) -> bool {
-        let job = &self.jobs[group.job];
-        job.step_of(group.group as usize).lasting
-            && job.groups[group.group as usize].waited_ms(now_ms) >= LONGEST_LASTING_WAIT_MS
+    /// Starts what fits of a group within its reach, single tasks up to a number.
+    fn place_within(
+        &mut self,
+        group: GroupKey,
+        reach: Reach,
+        most: usize,
+        withheld: &mut Withheld,
+        now_ms: u64,
+    ) {
+        let started = self.pending_starts.len();
+        match self.is_gang(group) {
+            true => self.place_gang(group, reach, withheld, now_ms),
+            false => self.place_tasks(group, reach, most, withheld, now_ms),
+        }
+        if self.pending_starts.len() > started {
+            withheld.idle_work.record_placed(group.job);
+        }
     }
 
     /// Returns whether a group has waited so long for its rack that running slower elsewhere is no worse.
-    pub(crate) fn may_leave_rack(&self, group: GroupKey, now_ms: u64) -> bool {
-        if self.is_overdue_lasting(group, now_ms) {
+    fn may_leave_rack(&self, group: GroupKey, reach: Reach, now_ms: u64) -> bool {
+        if reach == Reach::Anywhere {
             return true;
         }
         let job = &self.jobs[group.job];
@@ -171,7 +176,7 @@
     }
 
     /// Places all tasks of a gang, or none.
-    fn place_gang(&mut self, group: GroupKey, withheld: &mut Withheld, now_ms: u64) {
+    fn place_gang(&mut self, group: GroupKey, reach: Reach, withheld: &mut Withheld, now_ms: u64) {
         let job = &self.jobs[group.job];
         let group_state = &job.groups[group.group as usize];
         let count = group_state.tasks.len();
@@ -184,8 +189,8 @@
         }
         let step = job.step_of(group.group as usize);
         let need = self.need(group);
-        let may_leave_rack = self.may_leave_rack(group, now_ms);
-        let shape = self.shape(group, count, Extent::Site, now_ms);
+        let may_leave_rack = self.may_leave_rack(group, reach, now_ms);
+        let shape = self.shape(group, reach, count, Extent::Site, now_ms);
         if withheld.unplaceable.covers(&shape) {
             return;
         }
@@ -200,43 +205,42 @@
         {
             return;
         }
-        let mut candidates = self.list_available_candidates(group, withheld, now_ms);
-        if let Some(rack) = &step.data_rack
-            && !may_leave_rack
-        {
-            let rack = self.racks.find(rack);
-            candidates.retain(|candidate| Some(candidate.rack) == rack);
-        }
+        let mut candidates = self.list_available_candidates(group, reach, withheld, now_ms);
+        candidates.retain(|candidate| may_leave_rack || !candidate.off_rack);
         let needs_empty_workers = self.waits_for_empty_workers(group, now_ms);
         if needs_empty_workers {
             candidates.retain(|candidate| candidate.empty);
         }
-        let mut places = find_places_on_one_rack(&candidates, &need, count);
-        let mut failed = on_one_rack;
-        if places.is_none()
-            && (!step.one_rack || may_leave_rack || count > self.max_tasks_on_one_rack(group))
-        {
-            places = find_places(&candidates, &need, count);
-            failed = shape;
-        }
-        match places {
+        let may_spread =
+            !step.one_rack || may_leave_rack || count > self.max_tasks_on_one_rack(group);
+        match find_gang_places(&candidates, &need, count, may_spread) {
             Some(places) => {
                 let places: Vec<(u32, WorkerKey)> = (0..).zip(places).collect();
                 self.assign_group(group, &places, now_ms);
             }
             None if self.is_unrestricted(group) && !needs_empty_workers => {
-                withheld.unplaceable.record(failed)
+                withheld.unplaceable.record(match may_spread {
+                    true => shape,
+                    false => on_one_rack,
+                })
             }
             None => {}
         }
     }
 
     /// Returns the shape of a group of which `count` tasks have to fit at the same time.
-    fn shape(&self, group: GroupKey, count: usize, extent: Extent, now_ms: u64) -> Shape {
+    fn shape(
+        &self,
+        group: GroupKey,
+        reach: Reach,
+        count: usize,
+        extent: Extent,
+        now_ms: u64,
+    ) -> Shape {
         let job = &self.jobs[group.job];
-        let access = if self.is_overdue_lasting(group, now_ms) {
+        let access = if reach == Reach::Anywhere {
             Access::Quarantined
-        } else if self.may_use_all_capacity(group, now_ms) {
+        } else if job.stored.priority == 0 {
             Access::All
         } else if self.may_use_headroom(group, now_ms) {
             Access::Headroom
@@ -263,20 +267,27 @@
             && step.most_per_worker == 0
     }
 
-    /// Places each task of a group that fits somewhere.
-    fn place_tasks(&mut self, group: GroupKey, withheld: &mut Withheld, now_ms: u64) {
+    /// Places each task of a group that fits somewhere, up to a number of them.
+    fn place_tasks(
+        &mut self,
+        group: GroupKey,
+        reach: Reach,
+        most: usize,
+        withheld: &mut Withheld,
+        now_ms: u64,
+    ) {
         let job = &self.jobs[group.job];
         let step = job.step_of(group.group as usize);
         let need = self.need(group);
-        let shape = self.shape(group, 1, Extent::Site, now_ms);
+        let shape = self.shape(group, reach, 1, Extent::Site, now_ms);
         if withheld.unplaceable.covers(&shape) {
             return;
         }
-        let mut candidates = self.list_available_candidates(group, withheld, now_ms);
+        let mut candidates = self.list_available_candidates(group, reach, withheld, now_ms);
         if let Some(rack) = step
             .data_rack
             .as_ref()
-            .filter(|_| !self.may_leave_rack(group, now_ms))
+            .filter(|_| !self.may_leave_rack(group, reach, now_ms))
         {
             let rack = self
                 .racks
@@ -294,7 +305,11 @@
         }
         let mut places = self.place_suspects(group, &mut candidates, now_ms);
         let has_suspects = !places.is_empty();
+        places.truncate(most);
         for (index, task) in job.groups[group.group as usize].tasks.iter().enumerate() {
+            if places.len() >= most {
+                break;
+            }
             if task.phase != Phase::Waiting || task.not_before_ms > now_ms {
                 continue;
             }
@@ -350,7 +365,13 @@
             let best = candidates
                 .iter_mut()
                 .filter(|candidate| candidate.accepts(&need) && (candidate.empty || !needs_empty))
-                .min_by_key(|candidate| (!candidate.empty, candidate.rank(&need)));
+                .min_by_key(|candidate| {
+                    (
+                        candidate.quarantined,
+                        !candidate.empty,
+                        candidate.rank(&need),
+                    )
+                });
             match best {
                 Some(candidate) => {
                     candidate.place(&need);
@@ -411,3 +432,32 @@
         }
     }
 }
+
+/// Returns workers for all members of a gang, or none: those away from its data only if the others don't suffice, and
+/// quarantined ones only if no others do.
+fn find_gang_places(
+    candidates: &[Candidate],
+    need: &Resources,
+    count: usize,
+    may_spread: bool,
+) -> Option<Vec<WorkerKey>> {
+    let find = |candidates: &[Candidate]| {
+        find_places_on_one_rack(candidates, need, count).or_else(|| match may_spread {
+            true => find_places(candidates, need, count),
+            false => None,
+        })
+    };
+    let trusted: Vec<Candidate> = candidates
+        .iter()
+        .filter(|candidate| !candidate.quarantined)
+        .copied()
+        .collect();
+    let near: Vec<Candidate> = trusted
+        .iter()
+        .filter(|candidate| !candidate.off_rack)
+        .copied()
+        .collect();
+    find(&near)
+        .or_else(|| (near.len() < trusted.len()).then(|| find(&trusted))?)
+        .or_else(|| (trusted.len() < candidates.len()).then(|| find(candidates))?)
+}
--- a/crates/scheduler/src/urgent.rs
+++ b/crates/scheduler/src/urgent.rs
@@ -54,6 +54,14 @@
         self.0.push_back(arrival);
     }
 
+    /// Returns whether an urgent group arrived for a service within the window.
+    pub fn came_lately(&self, service: &str, now_ms: u64) -> bool {
+        let since_ms = now_ms.saturating_sub(ARRIVAL_WINDOW_MS);
+        self.0
+            .iter()
+            .any(|arrival| arrival.at_ms >= since_ms && arrival.service == service)
+    }
+
     /// Returns the group size to reserve headroom for, and for how many such groups; none without arrivals in the
     /// window.
     fn predict(&self, now_ms: u64) -> Option<(&UrgentArrival, usize)> {
--- /dev/null
+++ b/crates/scheduler/tests/idle_beside_quarantine.rs
@@ -0,0 +1,172 @@
+//! A job of which nothing runs starts at workers that other work is kept from, if no other has room.
+//!
+//! Guards against LOST for work that ends: workers are quarantined for up to 24 s after failures and refused starts, and
+//! kept from other work by tasks that may crash them.
+
+mod support;
+
+use rstest::rstest;
+use scheduler::prelude::*;
+use scheduler::{CrashCounts, GroupRecord, JobRecord, JobState, RunOutcome, TaskRecord};
+use support::idle_site::{LONGEST_DECISION_MS, PASS_MS, Site, long_step, spread};
+use support::{job, step};
+
+/// A worker that turned away starts again and again gets no other work for up to 24 s, also once it is healthy.
+#[rstest]
+fn job_starts_at_quarantined_worker(
+    #[values(1, 3, 8)] refusals: usize,
+    #[values(0, 1, 3)] priority: u32,
+    #[values(false, true)] is_gang: bool,
+) {
+    let mut site = Site::new(1);
+    site.refusing.insert(0);
+    let waiting = StepSpec {
+        gang: is_gang,
+        ..long_step(2, 1)
+    };
+    site.submit(priority, waiting);
+    for _ in 0..200 {
+        if site.harness.planner.counts().refused >= refusals as u64 {
+            break;
+        }
+        site.play(1_000);
+    }
+    site.refusing.clear();
+    assert_ne!(site.wait_for_start(LONGEST_DECISION_MS), 0);
+}
+
+/// The runs of several jobs failed there.
+#[test]
+fn job_starts_at_worker_quarantined_for_failures() {
+    let mut site = Site::new(1);
+    for _ in 0..6 {
+        site.submit(1, step(1, 1));
+        site.wait_for_start(30_000);
+        let run = site.runs.pop().unwrap();
+        site.end(run, RunOutcome::Failed);
+        site.cancel_last();
+    }
+    site.submit(1, long_step(1, 1));
+    assert_eq!(site.wait_for_start(LONGEST_DECISION_MS), 1);
+}
+
+/// A worker that refuses work is the last to get any.
+#[rstest]
+#[case::single_tasks(false)]
+#[case::gang(true)]
+fn job_starts_at_quarantined_worker_only_if_no_other_has_room(#[case] is_gang: bool) {
+    let mut site = Site::new(16);
+    site.refusing.extend(0..12);
+    site.submit(1, spread(long_step(16, 1)));
+    site.play(PASS_MS);
+    let runs = std::mem::take(&mut site.runs);
+    assert_eq!(runs.len(), 4);
+    for run in runs {
+        site.end(run, RunOutcome::Done);
+    }
+    site.cancel_last();
+    site.expect_urgent_work();
+    site.harness.planner.take_decisions();
+    let waiting = StepSpec {
+        gang: is_gang,
+        ..long_step(2, 8)
+    };
+    site.submit(3, waiting);
+    assert_ne!(site.wait_for_start(LONGEST_DECISION_MS), 0);
+    assert_eq!(site.harness.planner.counts().refused, 12);
+}
+
+/// Restores a job of single tasks that may have crashed their workers.
+fn restore_suspects(site: &mut Site, count: u32) {
+    site.jobs += 1;
+    let stored = job(site.jobs, 1, vec![long_step(count, 1)]);
+    let task = TaskRecord {
+        run: 2,
+        crashes: CrashCounts {
+            all: 2,
+            at_start: 1,
+        },
+        ..TaskRecord::default()
+    };
+    let record = JobRecord {
+        state: JobState::Running,
+        queue: stored.queue.clone(),
+        organisation: stored.organisation.clone(),
+        ended_unix_ms: 0,
+        groups: vec![GroupRecord {
+            occurrence: 0,
+            step: 0,
+            gang_failed: 0,
+            units: vec![task; count as usize],
+        }],
+    };
+    let now_ms = site.harness.now_ms;
+    site.harness
+        .planner
+        .restore_job(stored, Some(record), site.jobs, now_ms);
+}
+
+#[rstest]
+#[case::single_tasks(false)]
+#[case::gang(true)]
+fn job_starts_beside_suspects(#[case] is_gang: bool) {
+    let mut site = Site::new(4);
+    restore_suspects(&mut site, 4);
+    assert_eq!(site.wait_for_start(LONGEST_DECISION_MS), 4);
+    let waiting = StepSpec {
+        gang: is_gang,
+        ..long_step(2, 1)
+    };
+    site.submit(1, waiting);
+    assert_eq!(site.wait_for_start(LONGEST_DECISION_MS), 2);
+}
+
+#[rstest]
+#[case::no_headroom(false)]
+#[case::headroom(true)]
+fn suspects_start_without_empty_workers(#[case] headroom: bool) {
+    let mut site = match headroom {
+        true => Site::with_headroom(4),
+        false => Site::new(4),
+    };
+    site.submit(2, spread(long_step(4, 1)));
+    site.play(1_000);
+    restore_suspects(&mut site, 2);
+    assert_ne!(site.wait_for_start(LONGEST_DECISION_MS), 0);
+}
+
+/// The only worker is the one on which the last run failed, or that refused the last start.
+#[rstest]
+fn job_starts_again_at_worker_that_it_avoids(
+    #[values(false, true)] is_gang: bool,
+    #[values(1, 4)] failures: u32,
+) {
+    let mut site = Site::new(1);
+    let waiting = StepSpec {
+        gang: is_gang,
+        ..long_step(1, 1)
+    };
+    site.submit(1, waiting);
+    for _ in 0..failures {
+        assert_eq!(site.wait_for_start(LONGEST_DECISION_MS), 1);
+        let run = site.runs.pop().unwrap();
+        site.end(run, RunOutcome::Failed);
+    }
+    assert_eq!(site.wait_for_start(LONGEST_DECISION_MS), 1);
+}
+
+/// The urgent job needs no more and finds no room outside of quarantined workers before it.
+#[test]
+fn job_starts_at_quarantined_worker_beside_urgent_job_that_waits() {
+    let mut site = Site::new(1);
+    site.refusing.insert(0);
+    site.submit(1, long_step(1, 1));
+    site.play(30_000);
+    site.cancel_last();
+    site.refusing.clear();
+    let urgent = job(0xa00, 0, vec![long_step(1, 1)]);
+    let now_ms = site.harness.now_ms;
+    site.harness.planner.add_job(urgent, 0xa00, now_ms);
+    site.submit(2, long_step(1, 2));
+    assert_eq!(site.wait_for_start(LONGEST_DECISION_MS), 1);
+}
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod crash_site;
 pub mod crest;
+pub mod idle_site;
 pub mod live_site;
 pub mod live_worker;
 pub mod lives_calls;
