Ask for advice on quarantined workers for work that may start there

What callers saw: a job of a queue with an advice policy has nothing running for up to 24 s if only a quarantined worker has room (LOST); lasting tasks alike.

Cause: the planner asks for tickets for workers that are not quarantined only, so that overdue work gets none for the others.

Change: overdue work asks about quarantined workers, too, after all others.

--- a/crates/scheduler/src/advice.rs
+++ b/crates/scheduler/src/advice.rs
@@ -4,6 +4,7 @@
 
 use crate::group::{GroupKey, Phase};
 use crate::orders::{AdviceAnswer, Order};
+use crate::overdue::Reach;
 use crate::planner::Planner;
 use crate::worker::{Worker, WorkerKey};
 
@@ -81,9 +82,9 @@
         }
     }
 
-    /// Requests advice on which workers may run a group that was not placed completely. One query is in flight at a
-    /// time.
-    pub(crate) fn request_advice(&mut self, group: GroupKey, now_ms: u64) {
+    /// Requests advice on which workers may run a group that was not placed completely, on quarantined ones last and only if
+    /// it may start there. One query is in flight at a time.
+    pub(crate) fn request_advice(&mut self, group: GroupKey, reach: Reach, now_ms: u64) {
         let Some(job) = self.jobs.get(group.job) else {
             return;
         };
@@ -104,15 +105,17 @@
             .workers
             .iter()
             .filter(|(key, worker)| {
-                self.is_usable(worker, now_ms)
+                self.is_reachable(worker, now_ms)
+                    && (reach == Reach::Anywhere || worker.health.is_trusted(now_ms))
                     && self.is_eligible(group, worker)
                     && group_state.tickets.may_be_allowed(*key)
                     && group_state.tickets.find_valid(*key, now_ms).is_none()
             })
             .collect();
-        // Workers known to be allowed come first, then those with free capacity.
+        // Trusted workers come first, then those known to be allowed, then those with free capacity.
         open.sort_by_key(|(key, worker)| {
             (
+                !worker.health.is_trusted(now_ms),
                 !group_state.tickets.verdicts.contains_key(key),
                 !need.fits(&worker.free()),
                 worker.free().accelerators,
--- a/crates/scheduler/src/fit.rs
+++ b/crates/scheduler/src/fit.rs
@@ -125,7 +125,7 @@
     }
 
     /// Returns whether a worker takes new work and has answered lately.
-    fn is_reachable(&self, worker: &Worker, now_ms: u64) -> bool {
+    pub(crate) fn is_reachable(&self, worker: &Worker, now_ms: u64) -> bool {
         self.is_open(worker) && self.has_answered(worker, now_ms)
     }
 
--- a/crates/scheduler/src/schedule.rs
+++ b/crates/scheduler/src/schedule.rs
@@ -48,11 +48,11 @@
                     .headroom
                     .get_or_insert_with(|| self.compute_headroom(now_ms));
             }
-            self.place_group(group, &mut withheld, now_ms);
+            let reach = self.place_group(group, &mut withheld, now_ms);
             withheld
                 .workers
                 .extend(self.preempt_for_group(group, now_ms));
-            self.request_advice(group, now_ms);
+            self.request_advice(group, reach, now_ms);
         }
         self.refill_headroom(now_ms);
     }
@@ -135,13 +135,15 @@
         candidates
     }
 
-    /// Starts what fits of a group, and what is overdue wherever there is room.
-    fn place_group(&mut self, group: GroupKey, withheld: &mut Withheld, now_ms: u64) {
+    /// Starts what fits of a group, and what is overdue wherever there is room. Returns where it may start.
+    fn place_group(&mut self, group: GroupKey, withheld: &mut Withheld, now_ms: u64) -> Reach {
         self.place_within(group, Reach::Usual, usize::MAX, withheld, now_ms);
         let overdue = self.count_overdue(group, &mut withheld.idle_work, now_ms);
-        if overdue > 0 {
-            self.place_within(group, Reach::Anywhere, overdue, withheld, now_ms);
+        if overdue == 0 {
+            return Reach::Usual;
         }
+        self.place_within(group, Reach::Anywhere, overdue, withheld, now_ms);
+        Reach::Anywhere
     }
 
     /// Starts what fits of a group within its reach, single tasks up to a number.
--- a/crates/scheduler/tests/idle_beside_quarantine.rs
+++ b/crates/scheduler/tests/idle_beside_quarantine.rs
@@ -7,9 +7,11 @@
 
 use rstest::rstest;
 use scheduler::prelude::*;
-use scheduler::{CrashCounts, GroupRecord, JobRecord, JobState, RunOutcome, TaskRecord};
-use support::idle_site::{LONGEST_DECISION_MS, PASS_MS, Site, long_step, spread};
-use support::{job, step};
+use scheduler::{
+    Advice, AdviceAnswer, CrashCounts, GroupRecord, JobRecord, JobState, RunOutcome, TaskRecord,
+};
+use support::idle_site::{LONGEST_DECISION_MS, LONGEST_IDLE_MS, PASS_MS, Site, long_step, spread};
+use support::{job, starts, step};
 
 /// A worker that turned away starts again and again gets no other work for up to 24 s, also once it is healthy.
 #[rstest]
@@ -76,6 +78,51 @@
     assert_eq!(site.harness.planner.counts().refused, 12);
 }
 
+/// An advice policy is asked about quarantined workers, too.
+#[test]
+fn job_with_advice_starts_at_quarantined_worker() {
+    let mut site = Site::new(1);
+    site.refusing.insert(0);
+    site.submit(1, long_step(1, 1));
+    site.play(10_000);
+    site.refusing.clear();
+    site.jobs += 1;
+    let stored = StoredJob {
+        advice: Some(Advice {
+            decide_ms: 1,
+            each_worker_ms: 1,
+            valid_ms: 5_000,
+        }),
+        ..job(site.jobs, 1, vec![long_step(1, 1)])
+    };
+    let now_ms = site.harness.now_ms;
+    site.harness.planner.add_job(stored, site.jobs, now_ms);
+    let mut started = 0;
+    for _ in 0..LONGEST_IDLE_MS / PASS_MS {
+        let orders = site.advance();
+        let last = format!("{:016x}.", site.jobs);
+        let names = starts(&orders);
+        started += names.iter().filter(|(n, _)| n.starts_with(&last)).count();
+        for order in orders {
+            let Order::Ask { group, workers, .. } = order else {
+                continue;
+            };
+            let asked: Vec<_> = workers.iter().map(|(key, _)| *key).collect();
+            let ticket = |(_, id): (_, String)| (id, "ticket".to_string());
+            let answer = AdviceAnswer {
+                allowed: workers.into_iter().map(ticket).collect(),
+                valid_ms: 5_000,
+                received_ms: site.harness.now_ms,
+            };
+            let now_ms = site.harness.now_ms;
+            site.harness
+                .planner
+                .apply_advice(group, &asked, Some(answer), now_ms);
+        }
+    }
+    assert_eq!(started, 1);
+}
+
 /// Restores a job of single tasks that may have crashed their workers.
 fn restore_suspects(site: &mut Site, count: u32) {
     site.jobs += 1;
