Let work wait for 0.5 s instead of 1.5 s for room elsewhere after a change of planners

What callers saw: a job waits for its rack, the headroom or a quarantined worker for up to 1.5 s at each planner, so that changes of the planner add up to more than the 3 s in which nothing of it may run (LOST).

Cause: how long a group has waited is not stored, and each planner counts it anew.

Change: a group that was ready when its job was restored is overdue after 0.5 s, of work that has waited since then.

A change of planners that takes longer than a second adds to the wait as before.

--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -173,6 +173,8 @@
     pub tickets: Tickets,
     /// When the group became ready to start.
     pub ready_ms: Option<u64>,
+    /// Whether it may have been ready for long when this planner took over.
+    pub was_ready_before: bool,
 }
 
 impl Group {
@@ -187,6 +189,7 @@
             reservation: None,
             tickets: Tickets::default(),
             ready_ms: None,
+            was_ready_before: false,
         }
     }
 
@@ -213,6 +216,12 @@
         now_ms.saturating_sub(waits_since_ms)
     }
 
+    /// Returns whether a task has waited since before this planner took over its job, at `known_ms`.
+    pub fn waits_since_before(&self, known_ms: u64) -> bool {
+        let waits = |task: &Task| task.phase == Phase::Waiting && task.since_ms <= known_ms;
+        self.was_ready_before && self.tasks.iter().any(waits)
+    }
+
     /// Returns the highest run number of its tasks.
     pub fn highest_run(&self) -> u32 {
         self.tasks.iter().map(|task| task.run).max().unwrap_or(0)
--- a/crates/scheduler/src/overdue.rs
+++ b/crates/scheduler/src/overdue.rs
@@ -13,6 +13,10 @@
 /// and delivering the start.
 const LONGEST_IDLE_WAIT_MS: u64 = 1_500;
 
+/// The same for work that may have waited at an earlier planner for as long: the rest of the 3 s without that wait, and
+/// without 1 s for the change of planners and for delivering the start. The workers that are up have answered by then.
+const LONGEST_INHERITED_WAIT_MS: u64 = 500;
+
 /// Where a group may start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Reach {
@@ -48,7 +52,11 @@
         let job = &self.jobs[group.job];
         let group_state = &job.groups[group.group as usize];
         let step = job.step_of(group.group as usize);
-        if group_state.waited_ms(now_ms) < LONGEST_IDLE_WAIT_MS {
+        let longest_wait_ms = match group_state.waits_since_before(job.known_ms) {
+            true => LONGEST_INHERITED_WAIT_MS,
+            false => LONGEST_IDLE_WAIT_MS,
+        };
+        if group_state.waited_ms(now_ms) < longest_wait_ms {
             return 0;
         }
         if step.lasting {
--- a/crates/scheduler/src/restore.rs
+++ b/crates/scheduler/src/restore.rs
@@ -19,13 +19,21 @@
     ) {
         let id = stored.id;
         self.add_job(stored, order, now_ms);
-        let (Some(&key), Some(record)) = (self.by_job.get(&id), record) else {
+        let Some(&key) = self.by_job.get(&id) else {
             return;
         };
-        for group in &record.groups {
+        let groups = record.iter().flat_map(|record| &record.groups);
+        for group in groups {
             self.restore_group(key, group, now_ms);
         }
         let job = &mut self.jobs[key];
+        for group in 0..job.groups.len() {
+            job.groups[group].was_ready_before =
+                job.stored.request.timing.times == 0 && job.is_unblocked(group);
+        }
+        let Some(record) = record else {
+            return;
+        };
         job.ended_unix_ms = record.ended_unix_ms;
         job.state = record.state;
         if record.state.is_final() {
--- a/crates/scheduler/tests/idle_beside_room.rs
+++ b/crates/scheduler/tests/idle_beside_room.rs
@@ -14,7 +14,7 @@
     LONG_MS, LONGEST_DECISION_MS, LONGEST_IDLE_MS, PASS_MS, Site, URGENT_WINDOW_MS, gang,
     long_step, on_rack_0, spread, step_of,
 };
-use support::{entry, starts, step, stops, worker_of};
+use support::{Harness, entry, job, limits, starts, step, stops, worker_of};
 
 /// Why the rack that holds the data has no room.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -351,3 +351,35 @@
     site.end(run, RunOutcome::Done);
     assert_ne!(site.wait_for_start(LONGEST_DECISION_MS), 0);
 }
+
+/// The next planner does not know how long the job has waited.
+#[rstest]
+#[case::late_change(1, 1_400)]
+#[case::two_changes(2, 700)]
+fn job_does_not_wait_anew_for_each_planner(#[case] changes: u32, #[case] after_ms: u64) {
+    let waiting = || job(1, 1, vec![on_rack_0(long_step(1, 1))]);
+    let mut site = Site::new(16);
+    let begin_ms = site.harness.now_ms;
+    site.harness.planner.add_job(waiting(), 1, begin_ms);
+    site.silent.extend(0..8);
+    site.jobs = 1;
+    for _ in 0..changes {
+        if site.wait_for_start(after_ms) > 0 {
+            break;
+        }
+        let now_ms = site.harness.now_ms;
+        let mut harness = Harness {
+            planner: Planner::new(limits(), now_ms),
+            now_ms,
+            workers: Vec::new(),
+        };
+        harness.list((0..16).map(entry).collect());
+        harness.planner.restore_job(waiting(), None, 1, now_ms);
+        site.harness = harness;
+    }
+    if site.runs.is_empty() {
+        site.wait_for_start(LONGEST_DECISION_MS);
+    }
+    assert_eq!(site.runs.len(), 1);
+    assert!(site.harness.now_ms <= begin_ms + LONGEST_DECISION_MS);
+}
