Store the records of jobs with many tasks in parts

From reading: a job whose record is larger than a value of the store may be is accepted, and then no job starts any more. The store refuses the write for good, the planner repeats it for 4 s and steps down, and so does each of its successors.

Cause: a job had one record with all its tasks, some 120 bytes for each that runs.

Change: the tasks of a job with more than 256 are stored in parts of 256 (r/ID.N), each written only when it changes and before the record. Which part a task is in follows from the job's steps. A successor joins the parts with the record, which may also be a whole one of an earlier version, and concludes the state that follows from the tasks again. A saved progress of more than 256 bytes is left out, so that a part has an upper bound.

--- a/crates/control/src/keys.rs
+++ b/crates/control/src/keys.rs
@@ -10,6 +10,7 @@
 //! | `peers/NODE` | where the node takes calls of its peers, and its processor | each node, under a lease | with the lease |
 //! | `waves/N` | the progress of each machine in a wave of maintenance | the planner, before it empties a machine and after it went down | never |
 //! | `r/ID` | the job's record: its state and groups | the planner | some time after the job's end |
+//! | `r/ID.N` | a part of the record of a job with many tasks, N from 1 | the planner | after the job's end |
 
 use scheduler::JobId;
 
@@ -62,3 +63,17 @@
 pub(crate) fn record(id: JobId) -> String {
     format!("{RECORDS_PREFIX}{id}")
 }
+
+/// Returns the key of a part of a job's record.
+pub(crate) fn record_part(id: JobId, number: u32) -> String {
+    format!("{RECORDS_PREFIX}{id}.{number}")
+}
+
+/// Returns the job of a record's key, and the number of the part; 0 for the record itself.
+pub(crate) fn parse_record(key: &str) -> Option<(JobId, u32)> {
+    let name = key.strip_prefix(RECORDS_PREFIX)?;
+    match name.split_once('.') {
+        Some((id, number)) => Some((id.parse().ok()?, number.parse().ok()?)),
+        None => Some((name.parse().ok()?, 0)),
+    }
+}
--- a/crates/control/src/record_writer.rs
+++ b/crates/control/src/record_writer.rs
@@ -1,11 +1,11 @@
 //! Writes the planner's job records to the store. Each write is conditional on this node still holding the lead and on
 //! no other write having been made since its own last one.
 
-use std::collections::{HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
 use adapter::{CallError, Precondition, Put, Txn, TxnOutcome};
-use scheduler::{Flush, JobId, RecordWrite};
+use scheduler::{Flush, JobId, RecordPart, RecordWrite};
 
 use crate::clock::{now_ms, unix_ms};
 use crate::keys;
@@ -45,16 +45,55 @@
     not_waiting: HashSet<JobId>,
     /// Ended jobs with the time of their end, oldest first.
     ended_jobs: VecDeque<(JobId, u64)>,
+    /// The parts of records that the store has.
+    parts: StoredParts,
+}
+
+/// The encoded parts of records in the store, by job and number.
+pub(crate) type StoredParts = HashMap<JobId, BTreeMap<u32, Vec<u8>>>;
+
+/// Values and removals that must be in the same write.
+#[derive(Debug, Default)]
+struct Entries {
+    puts: Vec<Put>,
+    removals: Vec<String>,
+}
+
+impl Entries {
+    fn put(key: String, value: Vec<u8>) -> Entries {
+        let put = Put {
+            key,
+            value,
+            lease: None,
+        };
+        Entries {
+            puts: vec![put],
+            removals: Vec::new(),
+        }
+    }
+
+    fn removal(key: String) -> Entries {
+        Entries {
+            puts: Vec::new(),
+            removals: vec![key],
+        }
+    }
+
+    fn len(&self) -> usize {
+        self.puts.len() + self.removals.len()
+    }
 }
 
 impl RecordWriter {
-    /// Creates a writer that continues from the predecessor's last write, at revision `chain_revision`.
-    pub fn new(chain_revision: u64) -> RecordWriter {
+    /// Creates a writer that continues from the predecessor's last write, at revision `chain_revision`; `parts` are those
+    /// in the store.
+    pub fn new(chain_revision: u64, parts: StoredParts) -> RecordWriter {
         RecordWriter {
             chain_revision,
             write_number: 0,
             not_waiting: HashSet::new(),
             ended_jobs: VecDeque::new(),
+            parts,
         }
     }
 
@@ -68,13 +107,9 @@
     pub async fn write(&mut self, term: &Term, flush: &Flush) -> Result<(), String> {
         let mut txn = self.start_txn(term);
         for write in &flush.writes {
-            let (puts, removals) = self.build_entries(write)?;
-            if txn.entries() + puts.len() + removals.len() > Txn::MAX_ENTRIES {
-                self.commit(term, txn).await?;
-                txn = self.start_txn(term);
+            for entries in self.build_entries(write)? {
+                txn = self.add_entries(term, txn, entries).await?;
             }
-            txn.puts.extend(puts);
-            txn.removals.extend(removals);
         }
         let keep_ms = term.node.settings.bounds.keep_ended_s * 1000 + KEEP_MARGIN_MS;
         let due = |ended: &VecDeque<(JobId, u64)>| {
@@ -88,7 +123,11 @@
             && due(&self.ended_jobs)
         {
             if let Some((id, _)) = self.ended_jobs.pop_front() {
-                txn.removals.push(keys::record(id));
+                for entries in self.remove_parts(id) {
+                    txn = self.add_entries(term, txn, entries).await?;
+                }
+                let entries = Entries::removal(keys::record(id));
+                txn = self.add_entries(term, txn, entries).await?;
                 removed += 1;
             }
         }
@@ -98,6 +137,22 @@
         }
     }
 
+    /// Adds entries to a write. If they do not fit, that write is made first, and they begin the next one.
+    async fn add_entries(
+        &mut self,
+        term: &Term,
+        mut txn: Txn,
+        entries: Entries,
+    ) -> Result<Txn, String> {
+        if txn.entries() + entries.len() > Txn::MAX_ENTRIES {
+            self.commit(term, txn).await?;
+            txn = self.start_txn(term);
+        }
+        txn.puts.extend(entries.puts);
+        txn.removals.extend(entries.removals);
+        Ok(txn)
+    }
+
     /// Builds a write without records: its conditions, and the new value of the chain key.
     fn start_txn(&self, term: &Term) -> Txn {
         Txn {
@@ -120,27 +175,51 @@
         }
     }
 
-    /// Builds the values and removals that one job's record needs.
-    fn build_entries(&mut self, write: &RecordWrite) -> Result<(Vec<Put>, Vec<String>), String> {
-        let value = serde_json::to_vec(&write.record)
-            .map_err(|e| format!("encoding the record of {}: {e}", write.job))?;
-        let puts = vec![Put {
-            key: keys::record(write.job),
-            value,
-            lease: None,
-        }];
-        let mut removals = Vec::new();
+    /// Builds the values and removals that one job's record needs, in the order in which they have to be made. A record
+    /// follows its parts: with a state of its own but older parts, tasks that were started would be missing from it. It
+    /// precedes the removal of parts, which are removed only once the job is over.
+    fn build_entries(&mut self, write: &RecordWrite) -> Result<Vec<Entries>, String> {
+        let value = encode(write.job, &write.record)?;
+        let mut record = Entries::put(keys::record(write.job), value);
         if write.begun && self.not_waiting.insert(write.job) {
-            removals.push(keys::waiting(write.job));
+            record.removals.push(keys::waiting(write.job));
         }
         if write.over {
             self.not_waiting.remove(&write.job);
             self.ended_jobs
                 .push_back((write.job, write.record.ended_unix_ms));
-            removals.push(keys::job(write.job));
-            removals.push(keys::cancel(write.job));
+            record.removals.push(keys::job(write.job));
+            record.removals.push(keys::cancel(write.job));
+        }
+        let mut entries = self.build_parts(write.job, &write.parts)?;
+        entries.push(record);
+        if write.over {
+            entries.extend(self.remove_parts(write.job));
         }
-        Ok((puts, removals))
+        Ok(entries)
+    }
+
+    /// Builds the values of those parts of a record that differ from the stored ones.
+    fn build_parts(&mut self, job: JobId, parts: &[RecordPart]) -> Result<Vec<Entries>, String> {
+        let mut entries = Vec::new();
+        for part in parts {
+            let value = encode(job, part)?;
+            let stored = self.parts.entry(job).or_default();
+            if stored.get(&part.number) != Some(&value) {
+                stored.insert(part.number, value.clone());
+                entries.push(Entries::put(keys::record_part(job, part.number), value));
+            }
+        }
+        Ok(entries)
+    }
+
+    /// Returns the removals of all parts of a record.
+    fn remove_parts(&mut self, job: JobId) -> Vec<Entries> {
+        let parts = self.parts.remove(&job).unwrap_or_default();
+        parts
+            .into_keys()
+            .map(|number| Entries::removal(keys::record_part(job, number)))
+            .collect()
     }
 
     /// Makes one write, and repeats it until its outcome is known.
@@ -202,3 +281,7 @@
         }
     }
 }
+
+fn encode(job: JobId, value: &impl serde::Serialize) -> Result<Vec<u8>, String> {
+    serde_json::to_vec(value).map_err(|e| format!("encoding the record of {job}: {e}"))
+}
--- a/crates/control/src/takeover.rs
+++ b/crates/control/src/takeover.rs
@@ -4,13 +4,13 @@
 use std::sync::Arc;
 
 use adapter::{CallError, Item};
-use scheduler::{JobId, JobRecord, Planner, StoredJob};
+use scheduler::{JobId, JobRecord, Planner, RecordPart, StoredJob, join_record};
 use serde_json::Value;
 
 use crate::clock::now_ms;
 use crate::keys;
 use crate::node::Node;
-use crate::record_writer::RecordWriter;
+use crate::record_writer::{RecordWriter, StoredParts};
 use crate::term::{Term, planner_limits};
 
 /// Timeout of one read.
@@ -41,9 +41,10 @@
     }
     planner.set_evacuated(evacuated);
     let mut to_renew = planner.list_workers(workers, now_ms());
-    let ended = restore_jobs(&mut planner, node, &requests, &records);
+    let (records, parts) = decode_records(node, &records);
+    let ended = restore_jobs(&mut planner, node, &requests, records, &parts);
     to_renew.extend(planner.take_unpolled());
-    let mut record_writer = RecordWriter::new(chain.map_or(0, |item| item.revision));
+    let mut record_writer = RecordWriter::new(chain.map_or(0, |item| item.revision), parts);
     record_writer.add_ended_jobs(ended);
     *term.lock_planner() = planner;
     term.record_worker_list(workers_asked_ms);
@@ -61,25 +62,9 @@
     planner: &mut Planner,
     node: &Node,
     requests: &[Item],
-    records: &[Item],
+    records: BTreeMap<JobId, JobRecord>,
+    parts: &StoredParts,
 ) -> Vec<(JobId, u64)> {
-    let mut records_by_job: BTreeMap<JobId, JobRecord> = BTreeMap::new();
-    for item in records {
-        let id = item
-            .key
-            .strip_prefix(keys::RECORDS_PREFIX)
-            .and_then(|id| id.parse().ok());
-        match (id, serde_json::from_slice(&item.value)) {
-            (Some(id), Ok(record)) => {
-                records_by_job.insert(id, record);
-            }
-            (_, result) => log_unreadable_item(
-                node,
-                item,
-                &result.err().map_or(String::new(), |e| e.to_string()),
-            ),
-        }
-    }
     let mut cancels = Vec::new();
     let mut stored_jobs = HashSet::new();
     for item in requests {
@@ -94,7 +79,9 @@
         match serde_json::from_slice::<StoredJob>(&item.value) {
             Ok(stored) => {
                 stored_jobs.insert(stored.id);
-                let record = records_by_job.get(&stored.id).cloned();
+                let parts = parts.get(&stored.id).map_or(Vec::new(), decode_parts);
+                let record = records.get(&stored.id).cloned();
+                let record = join_record(&stored, record, parts);
                 planner.restore_job(stored, record, item.created, now_ms());
             }
             Err(e) => log_unreadable_item(node, item, &e.to_string()),
@@ -103,13 +90,47 @@
     for id in cancels {
         planner.cancel_job(id, now_ms());
     }
-    records_by_job
+    records
         .into_iter()
         .filter(|(id, record)| record.state.is_final() && !stored_jobs.contains(id))
         .map(|(id, record)| (id, record.ended_unix_ms))
         .collect()
 }
 
+/// Decodes records, and sorts out parts of records that can be read.
+fn decode_records(node: &Node, items: &[Item]) -> (BTreeMap<JobId, JobRecord>, StoredParts) {
+    let (mut records, mut parts) = (BTreeMap::new(), StoredParts::new());
+    for item in items {
+        let read = match keys::parse_record(&item.key) {
+            None => Err("not the key of a record".to_string()),
+            Some((id, 0)) => serde_json::from_slice(&item.value)
+                .map(|record| _ = records.insert(id, record))
+                .map_err(|e| e.to_string()),
+            Some((id, number)) => serde_json::from_slice(&item.value)
+                .map(|_: RecordPart| {
+                    let job = parts.entry(id).or_default();
+                    job.insert(number, item.value.clone());
+                })
+                .map_err(|e| e.to_string()),
+        };
+        if let Err(why) = read {
+            log_unreadable_item(node, item, &why);
+        }
+    }
+    (records, parts)
+}
+
+fn decode_parts(parts: &BTreeMap<u32, Vec<u8>>) -> Vec<RecordPart> {
+    let decoded = parts.iter().map(|(number, value)| {
+        let part: RecordPart = serde_json::from_slice(value).ok()?;
+        Some(RecordPart {
+            number: *number,
+            ..part
+        })
+    });
+    decoded.flatten().collect()
+}
+
 pub(crate) fn log_unreadable_item(node: &Node, item: &Item, why: &str) {
     let fields = [
         ("key", Value::from(item.key.as_str())),
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -248,7 +248,19 @@
     pub async fn submit_with(&self, at: usize, id: u64, count: u32, spec: &str) -> u16 {
         let step =
             json!({"count": count, "cpu": 1000, "mem_mb": 100, "gpu": 1, "estimate_ms": 100});
-        let body = json!({"spec": spec, "steps": [step]}).to_string();
+        let body = json!({"spec": spec, "steps": [step]});
+        self.submit_body(at, id, &body).await
+    }
+
+    /// Submits a job of `count` tasks that all fit on one worker; returns the status, or 0 without an answer.
+    pub async fn submit_weightless(&self, at: usize, id: u64, count: u32) -> u16 {
+        let step = json!({"count": count, "cpu": 0, "mem_mb": 0, "gpu": 0, "estimate_ms": 100});
+        let body = json!({"spec": "text", "steps": [step]});
+        self.submit_body(at, id, &body).await
+    }
+
+    async fn submit_body(&self, at: usize, id: u64, body: &Value) -> u16 {
+        let body = body.to_string();
         let response = self
             .call(at, "POST", &format!("/q/{id:016x}"), KEY, body)
             .await;
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -4,8 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::group::Group;
-use crate::record::{GroupRecord, JobRecord, StoredJob, StoredWorker, TaskRecord};
+use crate::group::{Group, Task};
+use crate::record::{GroupRecord, JobRecord, RecordPart, StoredJob, StoredWorker, TaskRecord};
+use crate::record_parts::{MAX_PROGRESS_BYTES, divide_groups};
 use crate::spec::{Resources, StepSpec};
 use crate::task::TaskName;
 
@@ -185,11 +186,12 @@
         )
     }
 
-    /// Returns its record for the store; `name` gives the stored form of a worker.
+    /// Returns its record for the store, and the parts of the record if it has many tasks; `name` gives the stored form
+    /// of a worker.
     pub fn record(
         &self,
         name: impl Fn(crate::worker::WorkerKey) -> Option<StoredWorker>,
-    ) -> JobRecord {
+    ) -> (JobRecord, Vec<RecordPart>) {
         let groups = match self.state.is_final() && !self.occupies_capacity() {
             true => Vec::new(),
             false => self
@@ -199,13 +201,29 @@
                 .map(|g| group_record(g, &name))
                 .collect(),
         };
-        JobRecord {
+        let sizes = self.groups.iter();
+        let sizes = sizes.map(|g| (g.occurrence, g.step, g.tasks.len()));
+        let (groups, parts) = divide_groups(sizes, groups);
+        let record = JobRecord {
             state: self.state,
             queue: self.stored.queue.clone(),
             organisation: self.stored.organisation.clone(),
             ended_unix_ms: self.ended_unix_ms,
             groups,
-        }
+        };
+        (record, parts)
+    }
+}
+
+/// Returns the saved progress of a task that its record keeps.
+fn recorded_progress(group: &Group, task: &Task) -> String {
+    let progress = match task.progress.is_empty() {
+        true => &group.progress,
+        false => &task.progress,
+    };
+    match progress.len() <= MAX_PROGRESS_BYTES {
+        true => progress.clone(),
+        false => String::new(),
     }
 }
 
@@ -223,17 +241,14 @@
             crashes: task.crashes,
             done: task.is_done(),
             worker: task.phase.worker().and_then(name),
-            progress: if task.progress.is_empty() {
-                group.progress.clone()
-            } else {
-                task.progress.clone()
-            },
+            progress: recorded_progress(group, task),
         })
         .collect();
     GroupRecord {
         occurrence: group.occurrence,
         step: group.step,
         gang_failed: group.gang_failed,
+        first: 0,
         units: tasks,
     }
 }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -25,6 +25,7 @@
 mod preempt;
 pub mod prelude;
 mod record;
+mod record_parts;
 mod refill;
 mod reservations;
 mod restore;
@@ -46,7 +47,8 @@
 };
 pub use orders::{AdviceAnswer, Flush, Order, RecordWrite, StartOutcome, StopOutcome};
 pub use planner::{Decision, Limits, Planner, RunCounts};
-pub use record::{GroupRecord, JobRecord, StoredJob, StoredWorker, TaskRecord};
+pub use record::{GroupRecord, JobRecord, RecordPart, StoredJob, StoredWorker, TaskRecord};
+pub use record_parts::join_record;
 pub use spec::{JobRequest, Resources, SpecError, StepSpec, Timing};
 pub use task::{JobId, NameError, TaskName};
 pub use worker::{
--- a/crates/scheduler/src/orders.rs
+++ b/crates/scheduler/src/orders.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use crate::group::{GroupKey, TaskKey};
-use crate::record::JobRecord;
+use crate::record::{JobRecord, RecordPart};
 use crate::task::{JobId, TaskName};
 use crate::worker::WorkerKey;
 
@@ -130,6 +130,8 @@
     pub job: JobId,
     /// The record.
     pub record: JobRecord,
+    /// The parts of the record, if the job has many tasks.
+    pub parts: Vec<RecordPart>,
     /// Whether the job no longer counts as waiting.
     pub begun: bool,
     /// Whether the job has ended and nothing runs, so that its request can be deleted.
--- a/crates/scheduler/src/planner.rs
+++ b/crates/scheduler/src/planner.rs
@@ -228,11 +228,12 @@
                 job.ended_unix_ms = unix_ms;
             }
             job.over = job.state.is_final() && !job.occupies_capacity();
-            let record = job.record(|w| workers.get(w).map(Worker::stored));
+            let (record, parts) = job.record(|w| workers.get(w).map(Worker::stored));
             let begun = job.state != crate::JobState::Pending;
             writes.push(RecordWrite {
                 job: job.stored.id,
                 record,
+                parts,
                 begun,
                 over: job.over,
             });
--- a/crates/scheduler/src/record.rs
+++ b/crates/scheduler/src/record.rs
@@ -50,7 +50,7 @@
     #[serde(default)]
     pub ended_unix_ms: u64,
     /// One entry for each occurrence and step in which a task was assigned; empty once the job has ended and nothing
-    /// runs.
+    /// runs, and if the job's tasks are stored in parts.
     #[serde(default)]
     pub groups: Vec<GroupRecord>,
 }
@@ -65,10 +65,27 @@
     /// Number of failed runs of the gang.
     #[serde(default)]
     pub gang_failed: u32,
+    /// Index of the first task; above 0 only in a part of a record.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub first: u32,
     /// The tasks, in order.
     pub units: Vec<TaskRecord>,
 }
 
+fn is_zero(number: &u32) -> bool {
+    *number == 0
+}
+
+/// A part of the record of a job with many tasks.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RecordPart {
+    /// Its number, from 1; part of its key.
+    #[serde(skip)]
+    pub number: u32,
+    /// The tasks of some steps and occurrences.
+    pub groups: Vec<GroupRecord>,
+}
+
 /// The progress of one task.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
--- a/crates/scheduler/src/restore.rs
+++ b/crates/scheduler/src/restore.rs
@@ -1,6 +1,6 @@
 //! Restores the jobs that an earlier planner left in the store.
 
-use crate::group::{GroupKey, JobKey, Phase, TaskKey};
+use crate::group::{Group, GroupKey, JobKey, Phase, TaskKey};
 use crate::job::JobState;
 use crate::planner::Planner;
 use crate::record::{GroupRecord, JobRecord, StoredJob, StoredWorker};
@@ -34,6 +34,13 @@
         let groups = self.jobs[key].groups.len() as u32;
         for group in (0..groups).map(|group| GroupKey { job: key, group }) {
             self.give_up_if_crashing(group, now_ms);
+            // The parts of a record are written before its state.
+            if self.jobs[key].is_exhausted(group.group as usize) {
+                self.end_job(key, JobState::Failed, now_ms);
+            }
+        }
+        if self.jobs[key].groups.iter().all(Group::is_done) {
+            self.settle_job(key);
         }
     }
 
@@ -118,11 +125,12 @@
                 (None, _) => {}
             }
         }
-        // The earlier planner may have stopped in the middle of tearing down a gang.
+        // The earlier planner may have stopped in the middle of tearing down a gang, or of writing a large one.
         let partial = gang && !self.jobs[job].groups[group_index].is_done() && {
             let tasks = &self.jobs[job].groups[group_index].tasks;
             let placed = tasks.iter().filter(|t| t.phase.worker().is_some()).count();
-            placed > 0 && placed < tasks.len()
+            let one_run = tasks.iter().all(|task| task.run == tasks[0].run);
+            placed > 0 && (placed < tasks.len() || !one_run)
         };
         if partial {
             self.tear_down_gang(group, now_ms);
