Bound the bytes of a write of records to what a narrow link carries

What callers saw: nothing in a deployment so far. From reading: over a link of 2 Mbit/s a write of more than 225 KB does not arrive within its 900 ms. The planner repeats it for 4 s and steps down; its successor finds the same jobs and does the same, so no job starts any more.

Cause: a write was bounded by its entries (29 records), not by its bytes.

Change: the values of one write have 112,500 bytes on the wire at most, half of what such a link carries in the timeout. A value that is larger by itself has a write of its own, whose timeout, and the time after which the planner steps down, are longer by its transfer.

--- a/crates/control/src/record_writer.rs
+++ b/crates/control/src/record_writer.rs
@@ -12,9 +12,16 @@
 use crate::metrics::{Counter, Timing};
 use crate::term::Term;
 
-/// Timeout of a write, after which it is retried on a new connection.
+/// Timeout of a write, besides the time for its values, after which it is retried on a new connection.
 const CALL_TIMEOUT_MS: u64 = 900;
 
+/// What the narrowest link of a VM carries, 2 Mbit/s.
+const NARROWEST_LINK_BYTES_PER_S: u64 = 250_000;
+
+/// Most bytes of the encoded values in one write: what the narrowest link carries in half of [`CALL_TIMEOUT_MS`], as it
+/// carries the planner's other calls, too. A value that is larger has a write of its own.
+const MAX_WRITE_BYTES: usize = (NARROWEST_LINK_BYTES_PER_S * CALL_TIMEOUT_MS / 2_000) as usize;
+
 /// A planner steps down if its writes, or the reads of its takeover, fail for this long while its lead is being renewed.
 /// This leaves time for several attempts at a store that is 80 times slower than usual.
 pub(crate) const STEP_DOWN_AFTER_MS: u64 = 4_000;
@@ -144,7 +151,10 @@
         mut txn: Txn,
         entries: Entries,
     ) -> Result<Txn, String> {
-        if txn.entries() + entries.len() > Txn::MAX_ENTRIES {
+        let has_room = txn.entries() + entries.len() <= Txn::MAX_ENTRIES
+            && encoded_len(&txn.puts) + encoded_len(&entries.puts) <= MAX_WRITE_BYTES;
+        // The chain key alone is no write.
+        if !has_room && txn.puts.len() + txn.removals.len() > 1 {
             self.commit(term, txn).await?;
             txn = self.start_txn(term);
         }
@@ -231,13 +241,14 @@
         }
         let node = &term.node;
         let mut new_connection = false;
+        let transfer_ms = encoded_len(&txn.puts) as u64 * 1_000 / NARROWEST_LINK_BYTES_PER_S;
         let began_ms = now_ms();
         loop {
             let sent_ms = now_ms();
             node.metrics.count(Counter::StoreCalls);
             let result = node
                 .store
-                .commit(&txn, CALL_TIMEOUT_MS, new_connection)
+                .commit(&txn, CALL_TIMEOUT_MS + transfer_ms, new_connection)
                 .await;
             node.metrics
                 .record(Timing::StoreCall, now_ms().saturating_sub(sent_ms));
@@ -273,7 +284,7 @@
             if term.lock_planner().is_superseded() {
                 return Err(LATER_TERM.to_string());
             }
-            if term.is_lead_valid() && now_ms() > began_ms + STEP_DOWN_AFTER_MS {
+            if term.is_lead_valid() && now_ms() > began_ms + STEP_DOWN_AFTER_MS + transfer_ms {
                 return Err(UNANSWERED_WRITES.to_string());
             }
             new_connection = true;
@@ -282,6 +293,11 @@
     }
 }
 
+/// Returns the number of bytes of all values on the wire, in base64.
+fn encoded_len(puts: &[Put]) -> usize {
+    puts.iter().map(|put| put.value.len().div_ceil(3) * 4).sum()
+}
+
 fn encode(job: JobId, value: &impl serde::Serialize) -> Result<Vec<u8>, String> {
     serde_json::to_vec(value).map_err(|e| format!("encoding the record of {job}: {e}"))
 }
