Give up runs whose orders get no answer from a worker that answers renewals

What callers saw: nothing in a deployment so far. From the review: a worker that answers renewals but no orders holds a task for good. The start, or the stop, is repeated as long as it answers, and each renewal prolongs the lease under which the run may still be there.

Cause: an order without an answer may be carried out later, so only the lease ends its run for certain, and the lease was renewed.

Change: an order that has had no answer for the time of a lease keeps new work from its worker. Once that holds for all that is assigned there, its lease is not renewed any more, neither by renewals nor by repeated starts, and the rule for silent workers ends the run: the lease on the worker's own clock, and the longest lease since the last call that carried one. The worker is quarantined then, and the loss does not count as a crash.

Evidence: crates/scheduler/tests/unanswered_orders.rs. Before: 3 of 4 fail, no start elsewhere within 22.4 s; now they pass, and 40 cases in which such starts are carried out up to 9 s late hold.

--- a/crates/scheduler/src/fit.rs
+++ b/crates/scheduler/src/fit.rs
@@ -119,7 +119,13 @@
     /// Returns whether a worker takes new work and has answered lately.
     fn is_reachable(&self, worker: &Worker, now_ms: u64) -> bool {
         self.is_open(worker)
-            && worker.fenced
+            && !worker.leaves_orders_unanswered
+            && self.answers_renewals(worker, now_ms)
+    }
+
+    /// Returns whether a worker has answered lately, and its last renewal.
+    pub(crate) fn answers_renewals(&self, worker: &Worker, now_ms: u64) -> bool {
+        worker.fenced
             && !worker.unresponsive
             && worker.answered_ms + self.limits.unresponsive_ms >= now_ms
     }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -32,6 +32,7 @@
 mod schedule;
 mod spec;
 mod task;
+mod unanswered;
 mod unplaceable;
 mod urgent;
 mod withdraw;
