--- a/crates/scheduler/tests/idle_beside_quarantine.rs
+++ b/crates/scheduler/tests/idle_beside_quarantine.rs
@@ -141,6 +141,7 @@
         organisation: stored.organisation.clone(),
         ended_unix_ms: 0,
         groups: vec![GroupRecord {
+            first: 0,
             occurrence: 0,
             step: 0,
             gang_failed: 0,
