Hold the bound for work that ends only once no urgent work has come for 12 s

But the platform asks for the bound only 14 s after the end of traffic, and urgent work needs its headroom until then.

It counts as half used if all resources are, without the case of urgent work.

--- a/crates/scheduler/src/fit.rs
+++ b/crates/scheduler/src/fit.rs
@@ -18,7 +18,7 @@
     pub rack_free: i64,
     /// Whether the worker is quarantined; such workers are chosen if no other has room.
     pub quarantined: bool,
-    /// Whether the worker is away from the data of the group.
+    /// Whether the worker is away from the data of a group that may start anywhere.
     pub off_rack: bool,
     /// Whether runs failed on the worker recently, or a task there may crash it; such workers are chosen last.
     pub recently_failed: bool,
@@ -196,7 +196,8 @@
                 slots_left: self.slots_left(group, worker),
                 rack_free: 0,
                 quarantined: !is_trusted,
-                off_rack: data_rack.is_some_and(|rack| rack != Some(worker.rack)),
+                off_rack: reach == Reach::Anywhere
+                    && data_rack.is_some_and(|rack| rack != Some(worker.rack)),
                 recently_failed: worker.health.has_recent_failure() || is_held,
                 empty: worker.is_empty(),
             });
--- a/crates/scheduler/src/overdue.rs
+++ b/crates/scheduler/src/overdue.rs
@@ -1,7 +1,7 @@
 //! Decides which work has waited so long that it starts wherever there is room: capacity withheld for urgent work, the
 //! headroom, other racks than that of its data, and quarantined workers if no other has room.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use crate::group::{GroupKey, JobKey, Phase};
 use crate::planner::Planner;
@@ -29,8 +29,8 @@
 /// What a planning pass has found out about services and jobs, each once.
 #[derive(Debug, Default)]
 pub(crate) struct IdleWork {
-    half_used: HashMap<String, bool>,
-    idle: HashMap<JobKey, bool>,
+    half_used: BTreeMap<String, bool>,
+    idle: BTreeMap<JobKey, bool>,
 }
 
 impl IdleWork {
@@ -63,10 +63,14 @@
             return usize::MAX;
         }
         let service = &job.stored.service;
+        // The platform asks for this only once no work has come for long. Until then, urgent work needs its headroom.
+        if self.urgent.came_lately(service, now_ms) {
+            return 0;
+        }
         let half_used = match idle_work.half_used.get(service) {
             Some(half_used) => *half_used,
             None => {
-                let half_used = self.counts_as_half_used(service, now_ms);
+                let half_used = self.is_service_half_used(service, now_ms);
                 idle_work.half_used.insert(service.clone(), half_used);
                 half_used
             }
@@ -81,27 +85,17 @@
         }
     }
 
-    /// Returns whether a service counts as half used. The platform does not say which of its resources counts, or how they
-    /// are weighed; by any of these, it is half used if all of its resources are. The platform asks for that only once no
-    /// work has come for long; while urgent work comes, which needs its headroom, one resource is enough.
-    fn counts_as_half_used(&self, service: &str, now_ms: u64) -> bool {
+    /// Returns whether at least half of each resource of a service is in use. The platform does not say which resource
+    /// counts, or how they are weighed: by any of these, the service is half used if all of its resources are.
+    fn is_service_half_used(&self, service: &str, now_ms: u64) -> bool {
         let capacity = self.service_capacity(service);
         let workers = self.workers.values();
         let used = workers
             .filter(|w| w.listed && w.entry.service == service && self.has_answered(w, now_ms))
             .fold(Resources::default(), |sum, w| sum + w.used);
-        let mut half_used = [
-            (used.cpu_millis, capacity.cpu_millis),
-            (used.memory_mb, capacity.memory_mb),
-            (used.accelerators, capacity.accelerators),
-        ]
-        .into_iter()
-        .filter(|(_, capacity)| *capacity > 0)
-        .map(|(used, capacity)| used * 2 >= capacity);
-        match self.urgent.came_lately(service, now_ms) {
-            true => half_used.any(|half| half),
-            false => half_used.all(|half| half),
-        }
+        used.cpu_millis * 2 >= capacity.cpu_millis
+            && used.memory_mb * 2 >= capacity.memory_mb
+            && used.accelerators * 2 >= capacity.accelerators
     }
 
     /// Returns whether it is uncertain that a task of a job runs or is about to.
--- a/crates/scheduler/src/schedule.rs
+++ b/crates/scheduler/src/schedule.rs
@@ -208,7 +208,12 @@
             return;
         }
         let mut candidates = self.list_available_candidates(group, reach, withheld, now_ms);
-        candidates.retain(|candidate| may_leave_rack || !candidate.off_rack);
+        if let Some(rack) = &step.data_rack
+            && !may_leave_rack
+        {
+            let rack = self.racks.find(rack);
+            candidates.retain(|candidate| Some(candidate.rack) == rack);
+        }
         let needs_empty_workers = self.waits_for_empty_workers(group, now_ms);
         if needs_empty_workers {
             candidates.retain(|candidate| candidate.empty);
