Soak checks that no job stands idle, and draws outages during which workers go away

The soak only asked whether a job was completed 55 s after the last fault.

The check goes by the workers' notes and the callers' calls: from 14 s after the end of traffic and faults, for 3 s on end, an accepted job that nobody cancelled has no run of a task that isn't done, the earlier steps are done, a task (or a whole gang) fits twice on workers that are up and take work, and under half of their accelerators are used. An end that was done counts whoever heard of it.

Plans draw, in some plays, two outages of 3 to 10 s in which workers leave, crash, are replaced or are cut off, with jobs of two steps whose runs may fail twice. They come from a random sequence of their own, so all other draws of a seed stay as they were. Of several faults of the store at once it has the newest; the end of one ended all before.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -54,6 +54,13 @@
     pub reply: Reply,
 }
 
+impl CallRecord {
+    /// Returns whether the call was accepted.
+    pub(crate) fn is_accepted(&self) -> bool {
+        matches!(self.reply, Reply::Accepted(_))
+    }
+}
+
 /// What all callers of a site saw.
 #[derive(Debug)]
 pub(crate) struct Callers {
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 
-use platform_standin::{Note, Reply, WorkerEvent};
+use platform_standin::{Note, Reply, StepSpec, WorkerEvent};
 
 use crate::callers::{Asked, CallRecord, Confirmed};
 use crate::site::Incident;
@@ -40,6 +40,8 @@
     pub notes: Vec<Note>,
     /// What callers saw.
     pub calls: Vec<CallRecord>,
+    /// The steps of each job that callers have; each step comes after the one before it.
+    pub steps: BTreeMap<String, Vec<StepSpec>>,
     /// The versions of the configuration.
     pub confirmed: Vec<Confirmed>,
     /// The faults as carried out.
@@ -52,17 +54,29 @@
 
 /// A run as its worker saw it.
 #[derive(Debug, Clone)]
-struct Run {
+pub(crate) struct Run {
     run: u64,
-    worker: String,
+    pub(crate) worker: String,
     incarnation: u64,
     late: bool,
-    began_ms: u64,
-    ended_ms: u64,
+    pub(crate) began_ms: u64,
+    pub(crate) ended_ms: u64,
     /// The number of its end, and how it ended.
     end: Option<(u64, String)>,
 }
 
+impl Run {
+    /// Returns whether it is under way at `at_ms`.
+    pub(crate) fn is_on(&self, at_ms: u64) -> bool {
+        (self.began_ms..self.ended_ms).contains(&at_ms)
+    }
+
+    /// Returns whether it has ended as done by `at_ms`.
+    pub(crate) fn is_done_by(&self, at_ms: u64) -> bool {
+        self.ended_ms <= at_ms && self.end.as_ref().is_some_and(|(_, how)| how == "done")
+    }
+}
+
 /// Returns how many runs each worker has that have not ended.
 pub(crate) fn open_runs(notes: &[Note]) -> HashMap<String, usize> {
     let mut open: HashMap<String, HashSet<(u64, &str, u64)>> = HashMap::new();
@@ -167,6 +181,7 @@
         let mut broken = Vec::new();
         self.check_runs(&runs, &mut broken);
         self.check_jobs(&runs, &mut broken);
+        self.check_idle(&runs, &mut broken);
         self.check_leaving(&runs, &mut broken);
         self.check_gangs(&runs, &mut broken);
         self.check_configuration(&mut broken);
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -332,8 +332,7 @@
         _ => ("unresponsive", 0),
     };
     note_begin(site, fault, "the store");
-    site.set_store_fault(name, delay_ms).await;
-    sleep(Duration::from_millis(fault.for_ms)).await;
-    site.set_store_fault("none", 0).await;
+    site.harm_store(name, delay_ms, Duration::from_millis(fault.for_ms))
+        .await;
     Ok("the store".to_string())
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -4,7 +4,9 @@
 mod callers;
 mod check;
 mod faults;
+mod idle;
 mod link;
+mod outages;
 mod plan;
 mod play;
 mod process;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -6,11 +6,13 @@
 use rand_pcg::Pcg64;
 use strum::{Display, EnumIter, EnumString, IntoEnumIterator};
 
+use crate::outages::draw_outages;
+
 /// Most kinds of fault in one play, so that plays differ more than if each had all kinds.
 const KINDS_PER_PLAY: usize = 6;
 
 /// Time before the first fault, in milliseconds.
-const LEAD_IN_MS: u64 = 2_000;
+pub(crate) const LEAD_IN_MS: u64 = 2_000;
 
 /// Longest time between two jobs of one burst, in milliseconds.
 const JOB_GAP_MS: u64 = 300;
@@ -19,7 +21,10 @@
 const BURST_GAP_MS: u64 = 2_000;
 
 /// Most attempts of a caller to hand a job in.
-const MOST_ATTEMPTS: usize = 5;
+pub(crate) const MOST_ATTEMPTS: usize = 5;
+
+/// Number of the random sequence from which outages are drawn, so that they leave the other draws of a seed as they are.
+const OUTAGES_SEQUENCE: u64 = 1;
 
 /// Probability that a burst goes on after a job.
 const BURST_GOES_ON: f64 = 0.75;
@@ -166,25 +171,16 @@
 }
 
 impl Plan {
-    /// Draws the plan of a seed: faults of some of `kinds` for `faults_ms`, and jobs for as long.
+    /// Draws the plan of a seed: faults of some of `kinds` for `faults_ms`, and jobs for as long; in some plays also
+    /// outages of the store during which workers go away.
     pub fn draw(seed: u64, kinds: &[FaultKind], faults_ms: u64, mean_gap_ms: u64) -> Plan {
         let mut random = Pcg64::seed_from_u64(seed);
-        let kinds: Vec<FaultKind> = kinds.sample(&mut random, KINDS_PER_PLAY).copied().collect();
+        let drawn: Vec<FaultKind> = kinds.sample(&mut random, KINDS_PER_PLAY).copied().collect();
         let mut faults = Vec::new();
         let mut at_ms = LEAD_IN_MS;
         while at_ms < faults_ms {
-            if let Some(kind) = kinds.choose(&mut random) {
-                let (shortest_ms, longest_ms) = kind.lasts_ms();
-                faults.push(Fault {
-                    at_ms,
-                    // Short faults, which end before they are noticed, come more often than long ones.
-                    for_ms: shortest_ms
-                        + ((longest_ms - shortest_ms) as f64 * random.random::<f64>().powi(2))
-                            as u64,
-                    kind: *kind,
-                    pick: random.random(),
-                    stage_ms: random.random_range(0..=2_000),
-                });
+            if let Some(kind) = drawn.choose(&mut random) {
+                faults.push(draw_fault(&mut random, *kind, at_ms));
             }
             at_ms += random.random_range(mean_gap_ms / 4..=mean_gap_ms * 7 / 4);
         }
@@ -197,10 +193,29 @@
                 false => random.random_range(0..=BURST_GAP_MS),
             };
         }
+        let mut random = Pcg64::new(u128::from(seed), u128::from(OUTAGES_SEQUENCE));
+        let (outages, jobs_meanwhile) = draw_outages(&mut random, kinds, faults_ms);
+        faults.extend(outages);
+        faults.sort_by_key(|fault| fault.at_ms);
+        jobs.extend(jobs_meanwhile);
+        jobs.sort_by_key(|job| job.at_ms);
         Plan { seed, faults, jobs }
     }
 }
 
+pub(crate) fn draw_fault(random: &mut Pcg64, kind: FaultKind, at_ms: u64) -> Fault {
+    let (shortest_ms, longest_ms) = kind.lasts_ms();
+    let longer_ms = (longest_ms - shortest_ms) as f64 * random.random::<f64>().powi(2);
+    Fault {
+        at_ms,
+        // Short faults, which end before they are noticed, come more often than long ones.
+        for_ms: shortest_ms + longer_ms as u64,
+        kind,
+        pick: random.random(),
+        stage_ms: random.random_range(0..=2_000),
+    }
+}
+
 fn draw_job(random: &mut Pcg64, at_ms: u64) -> PlannedJob {
     let run_ms = match random.random_range(0..10) {
         0..4 => random.random_range(100..800),
@@ -221,6 +236,7 @@
                 count,
                 run_ms,
                 gang,
+                failing_runs: 0,
             }
         })
         .collect();
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -160,6 +160,9 @@
     let observed = Observed {
         notes: site.notes(),
         calls: callers.calls(),
+        steps: (plan.jobs.iter())
+            .map(|job| (job.id.clone(), job.steps.clone()))
+            .collect(),
         confirmed: operator.confirmed(),
         incidents: lock(&site.incidents).clone(),
         own_ends: lock(&site.own_ends).clone(),
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -80,6 +80,21 @@
     pub(crate) incarnation: AtomicU32,
 }
 
+/// The faults that the store has, with their delays, by the order in which they began.
+#[derive(Debug, Default)]
+struct StoreFaults {
+    begun: u64,
+    on: BTreeMap<u64, (&'static str, u64)>,
+}
+
+impl StoreFaults {
+    fn begin(&mut self, fault: &'static str, delay_ms: u64) -> u64 {
+        self.begun += 1;
+        self.on.insert(self.begun, (fault, delay_ms));
+        self.begun
+    }
+}
+
 /// A fault as it was carried out.
 #[derive(Debug, Clone)]
 pub struct Incident {
@@ -99,6 +114,7 @@
     store: SocketAddr,
     store_control: SocketAddr,
     store_process: Mutex<Option<Process>>,
+    store_faults: tokio::sync::Mutex<StoreFaults>,
     pub(crate) nodes: Vec<NodePlace>,
     pub(crate) workers: Vec<Place>,
     pub(crate) http: reqwest::Client,
@@ -178,6 +194,7 @@
             store,
             store_control,
             store_process: Mutex::default(),
+            store_faults: tokio::sync::Mutex::default(),
             nodes: Vec::new(),
             workers: Vec::new(),
             http: reqwest::Client::builder().no_proxy().build()?,
@@ -368,8 +385,21 @@
         self.control(self.store_control, "write", &body).await
     }
 
-    /// Sets the fault of the store.
-    pub(crate) async fn set_store_fault(&self, fault: &str, delay_ms: u64) {
+    /// Lets the store have a fault for a time. Of several at once it has the one that began last.
+    pub(crate) async fn harm_store(&self, fault: &'static str, delay_ms: u64, lasts: Duration) {
+        let mut faults = self.store_faults.lock().await;
+        let number = faults.begin(fault, delay_ms);
+        self.set_store_fault(&faults).await;
+        drop(faults);
+        sleep(lasts).await;
+        let mut faults = self.store_faults.lock().await;
+        faults.on.remove(&number);
+        self.set_store_fault(&faults).await;
+    }
+
+    async fn set_store_fault(&self, faults: &StoreFaults) {
+        let newest = faults.on.values().next_back().copied();
+        let (fault, delay_ms) = newest.unwrap_or(("none", 0));
         let body = json!({"fault": fault, "delay_ms": delay_ms});
         self.control(self.store_control, "fault", &body).await;
     }
--- a/crates/soak/tests/plan.rs
+++ b/crates/soak/tests/plan.rs
@@ -1,5 +1,6 @@
 //! A seed decides the plan.
 
+use platform_standin::StepSpec;
 use rstest::rstest;
 use soak::{FaultKind, Plan};
 
@@ -26,3 +27,38 @@
         .collect();
     assert!(FaultKind::all().iter().all(|kind| drawn.contains(kind)));
 }
+
+/// Guards against plans that miss a store outage during which workers go away and the lead changes.
+#[test]
+fn draw_outages_while_workers_go_away_in_half_of_plans() {
+    let goes = [
+        FaultKind::WorkerLeaves,
+        FaultKind::WorkerCrash,
+        FaultKind::WorkerReplaced,
+        FaultKind::PowerLoss,
+        FaultKind::WorkerCutOff,
+    ];
+    let has_overlap = |seed: &u64| {
+        let faults = Plan::draw(*seed, &FaultKind::all(), 25_000, 1_500).faults;
+        faults.iter().any(|outage| {
+            let is_outage = matches!(outage.kind, FaultKind::StoreSilent | FaultKind::StoreBusy);
+            let until_ms = outage.at_ms + outage.for_ms;
+            let near = |fault: &&soak::Fault| {
+                goes.contains(&fault.kind)
+                    && (outage.at_ms.saturating_sub(2_000)..until_ms).contains(&fault.at_ms)
+            };
+            is_outage && outage.for_ms >= 3_000 && faults.iter().filter(near).count() >= 2
+        })
+    };
+    assert!((0..100).filter(has_overlap).count() >= 50);
+}
+
+/// Guards against runs that never fail in a play.
+#[test]
+fn draw_two_step_jobs_with_failing_runs() {
+    let jobs: Vec<_> = (0..20)
+        .flat_map(|seed| Plan::draw(seed, &FaultKind::all(), 25_000, 1_500).jobs)
+        .collect();
+    let fails = |steps: &[StepSpec]| steps.len() == 2 && steps.iter().all(|s| s.failing_runs == 2);
+    assert!(jobs.iter().any(|job| fails(&job.steps)));
+}
