Soak has workers whose address stays silent for the rest of a play

What was missed: after a change of the planner in an outage of the store, runs on a worker that doesn't answer wait for the end of its lease. In the soak a worker that was gone always had a successor at its address, which denies the runs at once.

Change: a worker leaves, or loses power, and nothing is at its address later; half of the places keep a worker.

--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -1,6 +1,7 @@
 //! Carries out the faults of a plan.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use platform_standin::{OddEntry, WorkerEntry, WorkerFault, steady_ms};
@@ -12,7 +13,7 @@
 use crate::check::open_runs;
 use crate::link::LinkState;
 use crate::plan::{Fault, FaultKind};
-use crate::site::{Incident, Seat, Site, lock};
+use crate::site::{Incident, Place, Seat, Site, lock};
 
 /// Share of faults that hit a worker that runs much and has room for more, or the leader, in tenths.
 const AIMED_TENTHS: u32 = 7;
@@ -60,9 +61,14 @@
     site.note(format!("{} of {whom}, {} ms", fault.kind, fault.for_ms));
 }
 
-/// Returns the worker's place that a fault hits.
+/// Returns the worker's place that a fault hits, of those that have a worker.
 fn choose_worker(site: &Site, pick: u32) -> usize {
-    let drawn = pick as usize / 10 % site.workers.len();
+    let count = site.workers.len();
+    let first = pick as usize / 10 % count;
+    let drawn = (0..count)
+        .map(|more| (first + more) % count)
+        .find(|at| !site.workers[*at].is_empty.load(Ordering::SeqCst))
+        .unwrap_or(first);
     if pick % 10 >= AIMED_TENTHS {
         return drawn;
     }
@@ -162,6 +168,9 @@
             let Ok(mut seat) = place.seat.try_lock() else {
                 return Ok(format!("{id}, left out, as another is under way"));
             };
+            if place.is_empty.load(Ordering::SeqCst) || !may_end_for_good(site, at, fault.kind) {
+                return Ok(format!("{id}, left out, as too few would be left"));
+            }
             note_begin(site, fault, &id);
             replace_worker(site, at, &mut seat, fault).await?;
         }
@@ -169,6 +178,19 @@
     Ok(id)
 }
 
+/// Returns whether half of the places keep a worker if a fault of this kind hits one; such a fault empties its place.
+fn may_end_for_good(site: &Site, at: usize, kind: FaultKind) -> bool {
+    if !matches!(
+        kind,
+        FaultKind::WorkerLeavesForGood | FaultKind::WorkerLostForGood
+    ) {
+        return true;
+    }
+    let empty = |place: &&Place| place.is_empty.load(Ordering::SeqCst);
+    let few = 2 * site.workers.iter().filter(empty).count() + 2 > site.workers.len();
+    !few && !site.workers[at].is_empty.swap(true, Ordering::SeqCst)
+}
+
 /// Faults that end the worker's process, or stop it.
 async fn replace_worker(
     site: &Arc<Site>,
@@ -214,7 +236,19 @@
                 process.signal(Signal::CONT);
             }
         }
-        FaultKind::WorkerLeaves | FaultKind::WorkerLeavesCutOff => {
+        FaultKind::WorkerLostForGood => {
+            for link in links {
+                link.change(|state| {
+                    state.power_losses += 1;
+                    state.to_cut += 1;
+                    state.back_cut += 1;
+                });
+            }
+            site.kill_worker(at, seat).await?;
+        }
+        FaultKind::WorkerLeaves
+        | FaultKind::WorkerLeavesCutOff
+        | FaultKind::WorkerLeavesForGood => {
             let after_ms = 3_000 + fault.for_ms;
             let order = json!({"after_ms": after_ms});
             site.control(place.control, "leave", &order).await;
@@ -239,6 +273,14 @@
             {
                 site.kill_worker(at, seat).await?;
             }
+            if fault.kind == FaultKind::WorkerLeavesForGood {
+                seat.process = None;
+                place.to_worker.change(|state| {
+                    state.to_cut += 1;
+                    state.back_cut += 1;
+                });
+                return Ok(());
+            }
             sleep(stage).await;
             site.start_worker(at, seat, true)?;
         }
--- a/crates/soak/src/outages.rs
+++ b/crates/soak/src/outages.rs
@@ -34,7 +34,9 @@
 
 const STORE_KINDS: [FaultKind; 2] = [FaultKind::StoreSilent, FaultKind::StoreBusy];
 
-const WORKER_KINDS: [FaultKind; 7] = [
+const WORKER_KINDS: [FaultKind; 9] = [
+    FaultKind::WorkerLeavesForGood,
+    FaultKind::WorkerLostForGood,
     FaultKind::WorkerLeaves,
     FaultKind::WorkerLeavesCutOff,
     FaultKind::WorkerCrash,
@@ -82,7 +84,9 @@
         for _ in 0..random.random_range(2..=4) {
             if let Some(kind) = workers.choose(random) {
                 let at_ms = match kind {
-                    FaultKind::WorkerLeaves | FaultKind::WorkerLeavesCutOff => {
+                    FaultKind::WorkerLeaves
+                    | FaultKind::WorkerLeavesCutOff
+                    | FaultKind::WorkerLeavesForGood => {
                         from_ms - random.random_range(0..=BEFORE_MS)
                     }
                     _ => from_ms + random.random_range(0..for_ms),
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -95,6 +95,10 @@
     Configuration,
     /// A caller's key is withdrawn.
     KeyWithdrawn,
+    /// A worker leaves as planned, and nothing is at its address later.
+    WorkerLeavesForGood,
+    /// A worker's machine loses power, and nothing is at its address later.
+    WorkerLostForGood,
 }
 
 impl FaultKind {
@@ -109,6 +113,8 @@
             FaultKind::PowerLoss | FaultKind::WorkerCrash | FaultKind::WorkerReplaced => (0, 6_000),
             FaultKind::WorkerLeaves => (3_000, 9_000),
             FaultKind::WorkerLeavesCutOff => (3_000, 9_000),
+            FaultKind::WorkerLeavesForGood => (0, 5_000),
+            FaultKind::WorkerLostForGood => (0, 0),
             FaultKind::NodeKilled | FaultKind::NodeStopped => (0, 3_000),
             FaultKind::StoreSilent | FaultKind::StoreBusy => (500, 3_000),
             FaultKind::Configuration | FaultKind::KeyWithdrawn => (0, 0),
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -6,7 +6,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -61,6 +61,8 @@
     pub(crate) seat: tokio::sync::Mutex<Seat>,
     /// The id in `seat`, for those who don't wait.
     pub(crate) id: Mutex<String>,
+    /// Whether it is empty for the rest of the play.
+    pub(crate) is_empty: AtomicBool,
 }
 
 #[derive(Debug, Default)]
@@ -87,14 +89,6 @@
     on: BTreeMap<u64, (&'static str, u64)>,
 }
 
-impl StoreFaults {
-    fn begin(&mut self, fault: &'static str, delay_ms: u64) -> u64 {
-        self.begun += 1;
-        self.on.insert(self.begun, (fault, delay_ms));
-        self.begun
-    }
-}
-
 /// A fault as it was carried out.
 #[derive(Debug, Clone)]
 pub struct Incident {
@@ -274,6 +268,7 @@
             clock_permille: 1_000 - (number as u64 % 3) * 10,
             seat: tokio::sync::Mutex::default(),
             id: Mutex::new(id),
+            is_empty: AtomicBool::new(false),
         })
     }
 
@@ -388,7 +383,9 @@
     /// Lets the store have a fault for a time. Of several at once it has the one that began last.
     pub(crate) async fn harm_store(&self, fault: &'static str, delay_ms: u64, lasts: Duration) {
         let mut faults = self.store_faults.lock().await;
-        let number = faults.begin(fault, delay_ms);
+        faults.begun += 1;
+        let number = faults.begun;
+        faults.on.insert(number, (fault, delay_ms));
         self.set_store_fault(&faults).await;
         drop(faults);
         sleep(lasts).await;
--- a/crates/soak/tests/plan.rs
+++ b/crates/soak/tests/plan.rs
@@ -37,6 +37,8 @@
         FaultKind::WorkerReplaced,
         FaultKind::PowerLoss,
         FaultKind::WorkerCutOff,
+        FaultKind::WorkerLeavesForGood,
+        FaultKind::WorkerLostForGood,
     ];
     let has_overlap = |seed: &u64| {
         let faults = Plan::draw(*seed, &FaultKind::all(), 25_000, 1_500).faults;
