--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -6,7 +6,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -61,6 +61,8 @@
     pub(crate) seat: tokio::sync::Mutex<Seat>,
     /// The id in `seat`, for those who don't wait.
     pub(crate) id: Mutex<String>,
+    /// Whether it is empty for the rest of the play.
+    pub(crate) is_empty: AtomicBool,
 }
 
 #[derive(Debug, Default)]
@@ -80,6 +82,13 @@
     pub(crate) incarnation: AtomicU32,
 }
 
+/// The faults that the store has, with their delays, by the order in which they began.
+#[derive(Debug, Default)]
+struct StoreFaults {
+    begun: u64,
+    on: BTreeMap<u64, (&'static str, u64)>,
+}
+
 /// A fault as it was carried out.
 #[derive(Debug, Clone)]
 pub struct Incident {
@@ -99,6 +108,7 @@
     store: SocketAddr,
     store_control: SocketAddr,
     store_process: Mutex<Option<Process>>,
+    store_faults: tokio::sync::Mutex<StoreFaults>,
     pub(crate) nodes: Vec<NodePlace>,
     pub(crate) workers: Vec<Place>,
     pub(crate) http: reqwest::Client,
@@ -178,6 +188,7 @@
             store,
             store_control,
             store_process: Mutex::default(),
+            store_faults: tokio::sync::Mutex::default(),
             nodes: Vec::new(),
             workers: Vec::new(),
             http: reqwest::Client::builder().no_proxy().build()?,
@@ -257,6 +268,7 @@
             clock_permille: 1_000 - (number as u64 % 3) * 10,
             seat: tokio::sync::Mutex::default(),
             id: Mutex::new(id),
+            is_empty: AtomicBool::new(false),
         })
     }
 
@@ -368,8 +380,23 @@
         self.control(self.store_control, "write", &body).await
     }
 
-    /// Sets the fault of the store.
-    pub(crate) async fn set_store_fault(&self, fault: &str, delay_ms: u64) {
+    /// Lets the store have a fault for a time. Of several at once it has the one that began last.
+    pub(crate) async fn harm_store(&self, fault: &'static str, delay_ms: u64, lasts: Duration) {
+        let mut faults = self.store_faults.lock().await;
+        faults.begun += 1;
+        let number = faults.begun;
+        faults.on.insert(number, (fault, delay_ms));
+        self.set_store_fault(&faults).await;
+        drop(faults);
+        sleep(lasts).await;
+        let mut faults = self.store_faults.lock().await;
+        faults.on.remove(&number);
+        self.set_store_fault(&faults).await;
+    }
+
+    async fn set_store_fault(&self, faults: &StoreFaults) {
+        let newest = faults.on.values().next_back().copied();
+        let (fault, delay_ms) = newest.unwrap_or(("none", 0));
         let body = json!({"fault": fault, "delay_ms": delay_ms});
         self.control(self.store_control, "fault", &body).await;
     }
