--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,10 +3,13 @@
 //! [`serve`] runs a node until it is stopped. Durable state is kept in the platform's store under the keys listed in
 //! `keys`; scheduling decisions are made by the `scheduler` package.
 
+mod body;
+mod byte_budget;
 mod call;
 mod clock;
 mod configuration;
 mod configuration_cache;
+mod door;
 mod hand_over;
 mod intake;
 mod job_calls;
