Name each hand-over once in the write that removes it

A hand-over that is read again before its records are stored was removed twice in one transaction, which the store's pages do not allow or rule out; a refusal would end the term.

Result: hand_over_is_removed_with_the_records_that_hold_it, which now hands over twice, failed before (the name was listed twice) and passes.

--- a/crates/scheduler/src/unstored.rs
+++ b/crates/scheduler/src/unstored.rs
@@ -104,7 +104,9 @@
         for run in runs {
             self.take_in_done_run(name.term, run, now_ms);
         }
-        self.taken_in.push(name);
+        if !self.taken_in.contains(&name) {
+            self.taken_in.push(name);
+        }
         self.changed = true;
     }
 
--- a/crates/scheduler/tests/hand_overs.rs
+++ b/crates/scheduler/tests/hand_overs.rs
@@ -117,6 +117,7 @@
     let stored = two_steps(false);
     let done = lose_workers_and_planner(&mut site, &stored);
     hand_over(&mut site, &done);
+    hand_over(&mut site, &done);
     let (_, flush) = site.harness.plan_without_store();
     assert_eq!(flush.taken_in, vec![NAME]);
     let record = &flush.writes.iter().find(|write| write.job == stored.id);
