Count the time of a head from its own beginning

What was seen: nothing; found in reading. The timer of a head was kept as long as each look at the connection found some head being received, so that the heads of a client that sends one request right after the other could share one timer, and a lawful one be cut off after 30 s.

Change: the timer follows the head that is being received.

--- a/crates/control/src/door.rs
+++ b/crates/control/src/door.rs
@@ -279,6 +279,10 @@
         }
         let deadline = tokio::time::Instant::from_std(since + head_time);
         let timer = timer.get_or_insert_with(|| Box::pin(tokio::time::sleep_until(deadline)));
+        // Another head may have begun since the timer was set.
+        if timer.deadline() != deadline {
+            timer.as_mut().reset(deadline);
+        }
         ready!(timer.as_mut().poll(cx));
         node.metrics.count(Counter::HeadsCutOff);
         Poll::Ready(())
