--- a/crates/scheduler/src/unanswered.rs
+++ b/crates/scheduler/src/unanswered.rs
@@ -16,9 +16,8 @@
             .iter()
             .filter(|(_, worker)| !worker.tasks.is_empty() || worker.leaves_orders_unanswered)
             .map(|(key, worker)| {
-                // A worker that answers nothing may have crashed, and its lease ends anyway. One that has been found stays so
-                // until its orders have an answer: an answer to a renewal after a missed one would bring a new lease.
-                let answers = worker.leaves_orders_unanswered || self.has_answered(worker, now_ms);
+                // A worker that answers nothing may have crashed, and its lease ends anyway.
+                let answers = self.has_answered(worker, now_ms);
                 let mut overdue = worker
                     .tasks
                     .keys()
