Take back giving up runs whose orders get no answer

The idle jobs have a start that is unconfirmed for longer than 10 s.

From reading: such starts were repeated until they got through; with the change the worker's lease was withheld after 9.5 s, repeats carried none, and the task waited for the end of the lease as well. Not traced to the single call.

--- a/crates/scheduler/src/events.rs
+++ b/crates/scheduler/src/events.rs
@@ -38,8 +38,8 @@
         }
     }
 
-    /// Returns the end of the lease to request now, on the worker's clock; none while that clock is not known, the last call
-    /// got no answer, or all orders for what runs there have had none for long.
+    /// Returns the end of the lease to request now, on the worker's clock; none while that clock is not known or the last
+    /// call got no answer.
     ///
     /// Counted from the worker's last answer, so that calls that may never arrive don't extend the lease of an
     /// unresponsive worker.
@@ -47,7 +47,7 @@
         let lease_ms = self.limits.lease_ms;
         let worker = self.workers.get_mut(key)?;
         // The next incarnation, whose clock is another one, may receive the call.
-        if worker.unresponsive || worker.is_lease_withheld {
+        if worker.unresponsive {
             return None;
         }
         worker.granted_ms = now_ms;
--- a/crates/scheduler/src/fit.rs
+++ b/crates/scheduler/src/fit.rs
@@ -126,9 +126,7 @@
 
     /// Returns whether a worker takes new work and has answered lately.
     pub(crate) fn is_reachable(&self, worker: &Worker, now_ms: u64) -> bool {
-        self.is_open(worker)
-            && !worker.leaves_orders_unanswered
-            && self.has_answered(worker, now_ms)
+        self.is_open(worker) && self.has_answered(worker, now_ms)
     }
 
     /// Returns whether a worker is listed and neither leaves nor is being emptied.
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -34,7 +34,6 @@
 mod schedule;
 mod spec;
 mod task;
-mod unanswered;
 mod unplaceable;
 mod unstored;
 mod urgent;
--- a/crates/scheduler/src/lives.rs
+++ b/crates/scheduler/src/lives.rs
@@ -250,7 +250,6 @@
 
     /// Treats the tasks on workers whose leases must have expired as lost; assignments that were not sent yet stay.
     pub(crate) fn expire_leases(&mut self, now_ms: u64) {
-        self.find_unanswered_orders(now_ms);
         let expired: Vec<WorkerKey> = self
             .workers
             .iter()
@@ -275,11 +274,6 @@
                 true => worker.fell_silent_early().then_some(WorkerLoss::Silent),
                 false => Some(WorkerLoss::Silent),
             };
-            let is_withheld = worker.is_lease_withheld;
-            let loss = loss.filter(|_| !is_withheld);
-            if is_withheld {
-                self.workers[key].end_withheld_lease(now_ms);
-            }
             self.record_decision(None, "lease ended", why);
             if let Some(loss) = loss {
                 self.count_crashes(&tasks, key, loss);
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -216,10 +216,6 @@
     pub draining: bool,
     /// Whether the last renewal got no usable answer.
     pub unresponsive: bool,
-    /// Whether an order has had no answer for long.
-    pub leaves_orders_unanswered: bool,
-    /// Whether its lease is not renewed any more, because that holds for all its tasks.
-    pub is_lease_withheld: bool,
     /// Ended runs up to this number are applied.
     pub ends_seen: u64,
     /// Ended runs up to this number are in the store.
@@ -262,8 +258,6 @@
             has_short_lease: false,
             draining: false,
             unresponsive: false,
-            leaves_orders_unanswered: false,
-            is_lease_withheld: false,
             ends_seen: 0,
             ends_stored: 0,
             used: Resources::default(),
@@ -350,7 +344,6 @@
         self.has_short_lease = self.entry.leaving;
         self.draining = false;
         self.unresponsive = false;
-        (self.leaves_orders_unanswered, self.is_lease_withheld) = (false, false);
         (self.ends_seen, self.ends_stored) = (0, 0);
         self.orphaned_runs.clear();
         self.lost_in_silence.clear();
