Give decisions under load a folder, and a record that goes along with the planner's writes

Cause: decisions under load have to outlast a change of planner, and the planner's modules may touch each other's fields. Change: crates/scheduler/src/policy/ with the state of each part; policy/shares and policy/learned are written along with a write that is made in any case, at most one of them with each, and read at a takeover. RunCounts has its own module.

--- a/crates/control/src/keys.rs
+++ b/crates/control/src/keys.rs
@@ -10,6 +10,8 @@
 //! | `n/ID` | the job's queue, while nothing of it has begun | the node that accepts it | by the planner |
 //! | `peers/NODE` | where the node takes calls of its peers, and its processor | each node, under a lease | with the lease |
 //! | `waves/N` | the progress of each machine in a wave of maintenance | the planner, before it empties a machine and after it went down | never |
+//! | `policy/shares` | what the order of turns rests on | the planner, along with starts | never |
+//! | `policy/learned` | what was learned about work and machines | the planner, every 5 s along with a write | never |
 //! | `r/ID` | the job's record: its state and groups | the planner | some time after the job's end |
 //! | `r/ID.N` | a part of the record of a job with many tasks, N from 1 | the planner | after the job's end |
 
@@ -34,6 +36,13 @@
 /// The planner's records of jobs.
 pub(crate) const RECORDS_PREFIX: &str = "r/";
 
+/// What the planner's decisions under load rest on.
+pub(crate) const POLICY_PREFIX: &str = "policy/";
+/// What the order of turns rests on.
+pub(crate) const SHARES: &str = "policy/shares";
+/// What was learned about work and machines.
+pub(crate) const LEARNED: &str = "policy/learned";
+
 /// Addresses at which nodes take calls that their peers pass on.
 pub(crate) const PEERS_PREFIX: &str = "peers/";
 
--- a/crates/control/src/record_writer.rs
+++ b/crates/control/src/record_writer.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use adapter::{CallError, Precondition, Put, Txn, TxnOutcome};
-use scheduler::{Flush, JobId, RecordPart, RecordWrite};
+use scheduler::{Flush, JobId, PolicyRecord, RecordPart, RecordWrite};
 
 use crate::clock::{now_ms, unix_ms};
 use crate::keys;
@@ -118,6 +118,9 @@
                 txn = self.add_entries(term, txn, entries).await?;
             }
         }
+        if let Some(policy) = &flush.policy {
+            txn = self.add_entries(term, txn, build_policy(policy)?).await?;
+        }
         for name in &flush.taken_in {
             if txn.entries() == Txn::MAX_ENTRIES {
                 self.commit(term, txn).await?;
@@ -300,6 +303,16 @@
     }
 }
 
+/// Builds the value of what the decisions under load rest on.
+fn build_policy(record: &PolicyRecord) -> Result<Entries, String> {
+    let (key, value) = match record {
+        PolicyRecord::Shares(shares) => (keys::SHARES, serde_json::to_vec(shares)),
+        PolicyRecord::Learned(learned) => (keys::LEARNED, serde_json::to_vec(learned)),
+    };
+    let value = value.map_err(|e| format!("encoding {key}: {e}"))?;
+    Ok(Entries::put(key.to_string(), value))
+}
+
 /// Returns the number of bytes of all values on the wire, in base64.
 fn encoded_len(puts: &[Put]) -> usize {
     puts.iter().map(|put| put.value.len().div_ceil(3) * 4).sum()
--- a/crates/control/src/takeover.rs
+++ b/crates/control/src/takeover.rs
@@ -36,7 +36,12 @@
         .read_all(keys::RECORDS_PREFIX, CALL_TIMEOUT_MS)
         .await?;
     let chain = node.store.read(keys::CHAIN, CALL_TIMEOUT_MS, false).await?;
+    let (policy, _) = node
+        .store
+        .read_all(keys::POLICY_PREFIX, CALL_TIMEOUT_MS)
+        .await?;
     let mut planner = Planner::new(planner_limits(node), now_ms());
+    restore_policy(&mut planner, node, &policy);
     if let Some(active) = node.configuration.latest() {
         planner.set_configuration(&active.configuration);
     }
@@ -58,6 +63,24 @@
     Ok((record_writer, seen_revision))
 }
 
+/// Passes what the decisions under load rest on to the planner. An item that cannot be read is left out: the planner then
+/// decides as one that has learned nothing.
+fn restore_policy(planner: &mut Planner, node: &Node, items: &[Item]) {
+    for item in items {
+        let read = match item.key.as_str() {
+            keys::SHARES => serde_json::from_slice(&item.value)
+                .map(|shares| planner.restore_shares(shares, now_ms())),
+            keys::LEARNED => {
+                serde_json::from_slice(&item.value).map(|learned| planner.restore_learned(learned))
+            }
+            _ => Ok(()),
+        };
+        if let Err(e) = read {
+            log_unreadable_item(node, item, &e.to_string());
+        }
+    }
+}
+
 /// Passes all stored jobs and cancels to the planner; returns ended jobs with the time of their end.
 fn restore_jobs(
     planner: &mut Planner,
--- a/crates/control/src/term.rs
+++ b/crates/control/src/term.rs
@@ -246,7 +246,7 @@
                 planner.set_configuration(&active.configuration);
             }
             planner.plan(now_ms(), unix_ms());
-            planner.begin_flush(unix_ms())
+            planner.begin_flush(now_ms(), unix_ms())
         };
         report_pass(term, now_ms().saturating_sub(planned_ms));
         report_decisions(term);
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod advice;
 mod configuration;
+mod counts;
 mod crashes;
 mod discarded_work;
 mod ends;
@@ -24,6 +25,7 @@
 mod overdue;
 mod pace;
 mod planner;
+mod policy;
 mod preempt;
 pub mod prelude;
 mod record;
@@ -41,6 +43,7 @@
 mod worker;
 
 pub use configuration::{Advice, BodyLimits, Configuration, Denied, Organisation, Queue, Service};
+pub use counts::RunCounts;
 pub use crashes::CrashCounts;
 pub use group::{GroupKey, TaskKey};
 pub use job::JobState;
@@ -49,7 +52,8 @@
     WaveRecord,
 };
 pub use orders::{AdviceAnswer, Flush, Order, RecordWrite, StartOutcome, StopOutcome};
-pub use planner::{Decision, Limits, Planner, RunCounts};
+pub use planner::{Decision, Limits, Planner};
+pub use policy::{DurationsRecord, LearnedRecord, PolicyRecord, SharesRecord, SpeedsRecord};
 pub use record::{GroupRecord, JobRecord, RecordPart, StoredJob, StoredWorker, TaskRecord};
 pub use record_parts::join_record;
 pub use spec::{JobRequest, Resources, SpecError, StepSpec, Timing};
--- a/crates/scheduler/src/orders.rs
+++ b/crates/scheduler/src/orders.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use crate::group::{GroupKey, TaskKey};
+use crate::policy::PolicyRecord;
 use crate::record::{JobRecord, RecordPart};
 use crate::task::{JobId, TaskName};
 use crate::unstored::HandOverName;
@@ -144,6 +145,8 @@
 pub struct Flush {
     /// Records to write.
     pub writes: Vec<RecordWrite>,
+    /// What the decisions under load rest on, if a successor would learn something new; goes along with the records.
+    pub policy: Option<PolicyRecord>,
     /// Starts that may be sent afterwards, with their run numbers.
     pub(crate) starts: Vec<(TaskKey, u32)>,
     /// Ended runs that may be confirmed to workers afterwards.
--- a/crates/scheduler/src/planner.rs
+++ b/crates/scheduler/src/planner.rs
@@ -5,9 +5,11 @@
 use slotmap::SlotMap;
 
 use crate::configuration::Configuration;
+use crate::counts::RunCounts;
 use crate::group::{GroupKey, JobKey, Phase, Task, TaskKey};
 use crate::job::Job;
 use crate::orders::{Flush, Order, RecordWrite, StoredEnds};
+use crate::policy::{LearnedRecord, Policy, SharesRecord};
 use crate::spec::Resources;
 use crate::task::JobId;
 use crate::unstored::{HandOverName, UnstoredDone};
@@ -46,47 +48,6 @@
     pub why: String,
 }
 
-/// Counts of runs and their outcomes, and of discarded work.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct RunCounts {
-    /// Starts that were sent.
-    pub starts: u64,
-    /// Runs that succeeded.
-    pub done: u64,
-    /// Runs that failed.
-    pub failed: u64,
-    /// Runs that were preempted.
-    pub preempted: u64,
-    /// Runs that were stopped before their worker may leave.
-    pub stopped_before_leave: u64,
-    /// Runs lost with their worker or its lease.
-    pub lost: u64,
-    /// Runs that ended because another member of their gang ended.
-    pub broken: u64,
-    /// Runs whose gang did not start completely in time.
-    pub alone: u64,
-    /// Starts that a worker refused.
-    pub refused: u64,
-    /// Calls that were unanswered.
-    pub unanswered: u64,
-    /// Jobs that were given up because a task crashed one worker after the other.
-    pub given_up: u64,
-    /// Entries of the list that contradict what their worker itself has said.
-    pub entries_set_aside: u64,
-    /// Workers that answered as a later incarnation.
-    pub restarted: u64,
-    /// Work discarded by preempted runs, in core-milliseconds.
-    pub discarded_preempted_core_ms: u64,
-    /// The same by runs of cancelled or failed jobs.
-    pub discarded_unwanted_core_ms: u64,
-    /// The same by runs that failed.
-    pub discarded_failed_core_ms: u64,
-    /// The same by runs that ended with their gang or whose gang did not start completely.
-    pub discarded_broken_core_ms: u64,
-    /// The same by runs lost with their worker or its lease.
-    pub discarded_lost_core_ms: u64,
-}
-
 /// Decides which task runs where. Each term of the leadership has its own planner.
 #[derive(Debug)]
 pub struct Planner {
@@ -126,6 +87,8 @@
     pub(crate) unstored_done: Vec<UnstoredDone>,
     /// What earlier planners have handed over and the next flush stores.
     pub(crate) taken_in: Vec<HandOverName>,
+    /// The state of the decisions under load.
+    pub(crate) policy: Policy,
 }
 
 impl Planner {
@@ -161,6 +124,7 @@
             idle_checked_ms: now_ms,
             unstored_done: Vec::new(),
             taken_in: Vec::new(),
+            policy: Policy::default(),
         }
     }
 
@@ -224,9 +188,19 @@
         std::mem::take(&mut self.first_start_ms)
     }
 
+    /// Goes on with what an earlier planner has stored of the order of turns.
+    pub fn restore_shares(&mut self, record: SharesRecord, now_ms: u64) {
+        self.policy.shares.restore(record, now_ms);
+    }
+
+    /// Goes on with what earlier planners have learned about work and machines.
+    pub fn restore_learned(&mut self, record: LearnedRecord) {
+        self.policy.restore_learned(record);
+    }
+
     /// Collects what has to be stored before dependent orders and confirmations may be sent. `unix_ms` is the end time
     /// of jobs that have just ended.
-    pub fn begin_flush(&mut self, unix_ms: u64) -> Flush {
+    pub fn begin_flush(&mut self, now_ms: u64, unix_ms: u64) -> Flush {
         let mut writes = Vec::new();
         for key in std::mem::take(&mut self.dirty) {
             let workers = &self.workers;
@@ -248,7 +222,7 @@
                 over: job.over,
             });
         }
-        let starts = std::mem::take(&mut self.pending_starts)
+        let starts: Vec<(TaskKey, u32)> = std::mem::take(&mut self.pending_starts)
             .into_iter()
             .map(|task| (task, self.task(task).map_or(0, |t| t.run)))
             .collect();
@@ -268,8 +242,13 @@
             .filter(|(_, w)| w.has_short_lease && !w.entry.leaving)
             .map(|(key, _)| key)
             .collect();
+        let policy = match writes.is_empty() {
+            true => None,
+            false => self.policy.take_record(!starts.is_empty(), now_ms),
+        };
         Flush {
             writes,
+            policy,
             starts,
             ends,
             staying,
--- /dev/null
+++ b/crates/scheduler/src/policy/mod.rs
@@ -0,0 +1,32 @@
+//! Decisions under load, each in a module with its own state and types.
+//!
+//! A part knows neither the planner nor its passes: values go in, a decision with its reasons comes out. The planner
+//! keeps the state of all parts in one [`Policy`], feeds it, and carries out what it decides. What a successor needs of
+//! that state is written to the store as [`SharesRecord`] and [`LearnedRecord`].
+
+pub(crate) mod durations;
+mod memory;
+pub(crate) mod shares;
+pub(crate) mod speeds;
+
+pub use durations::DurationsRecord;
+pub use memory::{LearnedRecord, PolicyRecord};
+pub use shares::SharesRecord;
+pub use speeds::SpeedsRecord;
+
+use durations::Durations;
+use memory::Memory;
+use shares::Shares;
+use speeds::Speeds;
+
+/// The state of all parts.
+#[derive(Debug, Default)]
+pub(crate) struct Policy {
+    /// What each organisation holds and has lately had.
+    pub shares: Shares,
+    /// How long work takes.
+    pub durations: Durations,
+    /// How fast machines are.
+    pub speeds: Speeds,
+    memory: Memory,
+}
--- a/crates/scheduler/tests/support/crash_site.rs
+++ b/crates/scheduler/tests/support/crash_site.rs
@@ -152,7 +152,7 @@
             self.report(index);
         }
         self.harness.planner.plan(now_ms, now_ms);
-        let flush = self.harness.planner.begin_flush(now_ms);
+        let flush = self.harness.planner.begin_flush(now_ms, now_ms);
         for write in &flush.writes {
             self.records.insert(write.job, write.record.clone());
         }
--- a/crates/scheduler/tests/support/crest.rs
+++ b/crates/scheduler/tests/support/crest.rs
@@ -397,7 +397,7 @@
         let began = Instant::now();
         self.harness.planner.plan(now_ms, now_ms);
         let pass = began.elapsed();
-        let flush = self.harness.planner.begin_flush(now_ms);
+        let flush = self.harness.planner.begin_flush(now_ms, now_ms);
         self.harness.planner.complete_flush(flush, now_ms);
         let orders = self.harness.take_orders();
         self.harness.planner.take_decisions();
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -167,7 +167,7 @@
     /// Runs a planning pass without completing its flush.
     pub fn plan_without_store(&mut self) -> (Vec<Order>, Flush) {
         self.planner.plan(self.now_ms, self.now_ms);
-        let flush = self.planner.begin_flush(self.now_ms);
+        let flush = self.planner.begin_flush(self.now_ms, self.now_ms);
         (self.take_orders(), flush)
     }
 
@@ -226,7 +226,7 @@
     /// Returns the records that the planner would write now.
     pub fn records(&mut self) -> Vec<JobRecord> {
         self.planner
-            .begin_flush(self.now_ms)
+            .begin_flush(self.now_ms, self.now_ms)
             .writes
             .into_iter()
             .map(|write| write.record)
