Decide by shares whose turn it is while room is scarce

Cause: groups of one priority went in the order of acceptance, and victims were chosen by loss alone, so that the organisation that sends most got most.

Elsewhere the order of acceptance stands. Losses of organisations above their entitlement count up to a quarter less in the choice of victims, and the headroom is refilled from them first. What was given goes into policy/shares along with starts, under 2 KB.

--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -68,6 +68,16 @@
     StartsRefused,
     /// Tasks preempted to free capacity.
     Preempted,
+    /// Groups that a later group of another organisation went before, because its guarantee covered that one.
+    PassedOverGuarantee,
+    /// The same, because that one had waited far beyond the time in which it was worth something.
+    PassedOverAged,
+    /// The same, because its own organisation was further above its entitlement.
+    PassedOverShare,
+    /// The same, because that one had less time left to be on time.
+    PassedOverSlack,
+    /// The same, because it could no longer be worth anything.
+    PassedOverWorthless,
     /// Tasks stopped before their worker may leave.
     StoppedBeforeLeave,
     /// Tasks lost because their worker's lease expired or its incarnation ended.
--- a/crates/control/src/term.rs
+++ b/crates/control/src/term.rs
@@ -305,6 +305,15 @@
     }
     node.metrics.set(Counter::StartsRefused, counts.refused);
     node.metrics.set(Counter::Preempted, counts.preempted);
+    for (counter, groups) in [
+        (Counter::PassedOverGuarantee, counts.passed_over_guarantee),
+        (Counter::PassedOverAged, counts.passed_over_aged),
+        (Counter::PassedOverShare, counts.passed_over_share),
+        (Counter::PassedOverSlack, counts.passed_over_slack),
+        (Counter::PassedOverWorthless, counts.passed_over_worthless),
+    ] {
+        node.metrics.set(counter, groups);
+    }
     node.metrics
         .set(Counter::StoppedBeforeLeave, counts.stopped_before_leave);
     node.metrics.set(Counter::TasksLost, counts.lost);
--- a/crates/scheduler/src/counts.rs
+++ b/crates/scheduler/src/counts.rs
@@ -39,4 +39,14 @@
     pub discarded_broken_core_ms: u64,
     /// The same by runs lost with their worker or its lease.
     pub discarded_lost_core_ms: u64,
+    /// Groups that a later group of another organisation went before, because its guarantee covered that one.
+    pub passed_over_guarantee: u64,
+    /// The same, because that one had waited far beyond the time in which it was worth something.
+    pub passed_over_aged: u64,
+    /// The same, because its own organisation was further above its entitlement.
+    pub passed_over_share: u64,
+    /// The same, because that one had less time left to be on time.
+    pub passed_over_slack: u64,
+    /// The same, because it could no longer be worth anything.
+    pub passed_over_worthless: u64,
 }
--- a/crates/scheduler/src/events.rs
+++ b/crates/scheduler/src/events.rs
@@ -21,7 +21,10 @@
         if self.knows_job(id, now_ms) {
             return;
         }
-        let key = self.jobs.insert(Job::new(stored, order, now_ms));
+        let shares = &mut self.policy.shares;
+        let account = shares.open_account(&stored.organisation, &stored.service);
+        let job = Job::new(stored, account, order, now_ms);
+        let key = self.jobs.insert(job);
         self.by_job.insert(id, key);
         self.changed = true;
     }
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -175,6 +175,8 @@
     pub ready_ms: Option<u64>,
     /// Whether it may have been ready for long when this planner took over.
     pub was_ready_before: bool,
+    /// Whether it was logged that a group of another organisation went before it.
+    pub is_passed_over: bool,
 }
 
 impl Group {
@@ -190,6 +192,7 @@
             tickets: Tickets::default(),
             ready_ms: None,
             was_ready_before: false,
+            is_passed_over: false,
         }
     }
 
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::group::{Group, Task};
+use crate::policy::shares::AccountKey;
 use crate::record::{GroupRecord, JobRecord, RecordPart, StoredJob, StoredWorker, TaskRecord};
 use crate::record_parts::{MAX_PROGRESS_BYTES, divide_groups};
 use crate::spec::{Resources, StepSpec};
@@ -40,6 +41,8 @@
 #[derive(Debug)]
 pub(crate) struct Job {
     pub stored: StoredJob,
+    /// The account of its organisation in its service.
+    pub account: AccountKey,
     /// Text that each task gets.
     pub text: Arc<str>,
     /// Position in the order of acceptance.
@@ -60,7 +63,7 @@
 }
 
 impl Job {
-    pub fn new(mut stored: StoredJob, order: u64, now_ms: u64) -> Job {
+    pub fn new(mut stored: StoredJob, account: AccountKey, order: u64, now_ms: u64) -> Job {
         let text: Arc<str> = std::mem::take(&mut stored.request.text).into();
         let steps = &stored.request.steps;
         let groups = (0..stored.request.timing.occurrences())
@@ -73,6 +76,7 @@
             .collect();
         Job {
             stored,
+            account,
             text,
             order,
             known_ms: now_ms,
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -36,6 +36,7 @@
 mod schedule;
 mod spec;
 mod task;
+mod turns;
 mod unplaceable;
 mod unstored;
 mod urgent;
--- a/crates/scheduler/src/planner.rs
+++ b/crates/scheduler/src/planner.rs
@@ -9,6 +9,7 @@
 use crate::group::{GroupKey, JobKey, Phase, Task, TaskKey};
 use crate::job::Job;
 use crate::orders::{Flush, Order, RecordWrite, StoredEnds};
+use crate::policy::shares::AccountKey;
 use crate::policy::{LearnedRecord, Policy, SharesRecord};
 use crate::spec::Resources;
 use crate::task::JobId;
@@ -417,6 +418,7 @@
         let Some(task) = self.task_mut(key) else {
             return;
         };
+        let is_given = task.run == 0 && matches!(phase, Phase::Assigned(_));
         task.phase = phase;
         task.run = run;
         task.percent = 0;
@@ -426,12 +428,15 @@
         task.since_ms = now_ms;
         task.placed_ms = now_ms;
         task.progressed_ms = now_ms;
-        let suspect = self
-            .jobs
-            .get(key.group.job)
-            .is_some_and(|job| self.is_suspect(job, key));
+        let job = self.jobs.get(key.group.job);
+        let suspect = job.is_some_and(|job| self.is_suspect(job, key));
+        let account = job.map_or_else(AccountKey::default, |job| job.account);
         if let Some(worker) = self.workers.get_mut(worker) {
             worker.used += need;
+            self.policy.shares.hold(account, need);
+            if is_given {
+                self.policy.shares.give(account, need, now_ms);
+            }
             worker.tasks.insert(key, run);
             if suspect {
                 worker.suspects.push(key);
@@ -456,6 +461,9 @@
             && worker.tasks.remove(&key).is_some()
         {
             worker.used -= need;
+            let job = self.jobs.get(key.group.job);
+            let account = job.map_or_else(AccountKey::default, |job| job.account);
+            self.policy.shares.release(account, need);
             worker.suspects.retain(|suspect| *suspect != key);
         }
         self.mark_dirty(key.group.job);
--- a/crates/scheduler/src/preempt.rs
+++ b/crates/scheduler/src/preempt.rs
@@ -4,7 +4,6 @@
 
 use crate::fit::{Candidate, split_by_rack};
 use crate::group::{GroupKey, JobKey, Phase, TaskKey};
-use crate::job::Job;
 use crate::overdue::Reach;
 use crate::planner::Planner;
 use crate::spec::Resources;
@@ -36,6 +35,8 @@
     task: TaskKey,
     resources: Resources,
     loss: i64,
+    /// The loss as it counts in the choice of victims; see [`Shares::weigh_loss`](crate::policy::shares::Shares::weigh_loss).
+    weighed_loss: i64,
 }
 
 /// A preemption: where the tasks go, which tasks are stopped, and the core-milliseconds that this discards.
@@ -44,6 +45,8 @@
     places: Vec<WorkerKey>,
     victims: Vec<TaskKey>,
     loss: i64,
+    /// The same as it counts in the choice of victims.
+    weighed_loss: i64,
 }
 
 impl Planner {
@@ -129,12 +132,15 @@
 
     /// Returns how long a group can wait and still be worth something: up to [`WORTHWHILE_FACTOR`] times the time within
     /// which it would be on time.
-    fn worthwhile_wait_ms(&self, group: GroupKey) -> u64 {
+    pub(crate) fn worthwhile_wait_ms(&self, group: GroupKey) -> u64 {
         let job = &self.jobs[group.job];
         let estimate_ms = job.step_of(group.group as usize).estimate_ms;
-        let on_time_ms =
-            estimate_ms * u64::from(job.stored.stretch_percent) / 100 + job.stored.goal_ms;
-        (on_time_ms * WORTHWHILE_FACTOR).saturating_sub(estimate_ms)
+        let stretch_percent = u64::from(job.stored.stretch_percent);
+        let on_time_ms = estimate_ms.saturating_mul(stretch_percent) / 100;
+        on_time_ms
+            .saturating_add(job.stored.goal_ms)
+            .saturating_mul(WORTHWHILE_FACTOR)
+            .saturating_sub(estimate_ms)
     }
 
     /// Returns whether at least half of the accelerators of a group's service are in use, or of its cores if it has no
@@ -185,20 +191,21 @@
     /// Returns whether an urgent job is covered by the guarantee of its organisation: all its unfinished urgent jobs
     /// together need no more accelerators than are guaranteed.
     fn is_guaranteed(&self, key: JobKey) -> bool {
-        let organisation = &self.jobs[key].stored.organisation;
-        let needed: i64 = self
-            .jobs
-            .values()
-            .filter(|job| {
-                job.stored.priority == 0
-                    && &job.stored.organisation == organisation
-                    && !job.state.is_final()
-            })
-            .map(Job::accelerators)
-            .sum();
+        let organisation = self.jobs[key].stored.organisation.as_str();
+        let needed = self.sum_urgent_needs().remove(organisation).unwrap_or(0);
         needed <= self.guaranteed.get(organisation).copied().unwrap_or(0)
     }
 
+    /// Returns the accelerators that all unfinished urgent jobs of each organisation need together.
+    pub(crate) fn sum_urgent_needs(&self) -> HashMap<&str, i64> {
+        let mut needs = HashMap::new();
+        let unfinished = self.jobs.values().filter(|job| !job.state.is_final());
+        for job in unfinished.filter(|job| job.stored.priority == 0) {
+            *needs.entry(job.stored.organisation.as_str()).or_insert(0) += job.accelerators();
+        }
+        needs
+    }
+
     /// Preempts a task; if it belongs to a gang, the whole gang.
     fn preempt_task(&mut self, key: TaskKey, by: crate::JobId, now_ms: u64) {
         let id = self.jobs[key.group.job].stored.id;
@@ -228,7 +235,7 @@
         let one_rack = step.one_rack && count <= self.max_tasks_on_one_rack(group);
         let by_rack = split_by_rack(&candidates)
             .filter_map(|rack| plan_on_candidates(rack.to_vec(), &victims, &need, count))
-            .min_by_key(|plan| plan.loss);
+            .min_by_key(|plan| plan.weighed_loss);
         if one_rack {
             return by_rack;
         }
@@ -249,13 +256,18 @@
                 .tasks
                 .keys()
                 .filter(|task| self.is_preemptible(**task, own))
-                .map(|task| Victim {
-                    task: *task,
-                    resources: self.need(task.group),
-                    loss: self.loss(*task, now_ms),
+                .map(|task| {
+                    let loss = self.loss(*task, now_ms);
+                    let account = self.jobs[task.group.job].account;
+                    Victim {
+                        task: *task,
+                        resources: self.need(task.group),
+                        loss,
+                        weighed_loss: self.policy.shares.weigh_loss(account, loss),
+                    }
                 })
                 .collect();
-            here.sort_by_key(|victim| (victim.loss, victim.task));
+            here.sort_by_key(|victim| (victim.weighed_loss, victim.task));
             all.insert(candidate.worker, here);
         }
         all
@@ -305,10 +317,13 @@
                 choose_victims(&candidates[index], victims, need, &plan.victims)
                     .map(|more| (index, more))
             })
-            .min_by_key(|(index, more)| (sum_loss(more), candidates[*index].free.accelerators))?;
+            .min_by_key(|(index, more)| {
+                (sum_weighed_loss(more), candidates[*index].free.accelerators)
+            })?;
         for victim in &more {
             candidates[index].free += victim.resources;
             plan.loss = plan.loss.saturating_add(victim.loss);
+            plan.weighed_loss = plan.weighed_loss.saturating_add(victim.weighed_loss);
             plan.victims.push(victim.task);
         }
         candidates[index].place(need);
@@ -317,10 +332,10 @@
     Some(plan)
 }
 
-fn sum_loss(victims: &[Victim]) -> i64 {
-    victims
-        .iter()
-        .fold(0, |sum: i64, victim| sum.saturating_add(victim.loss))
+fn sum_weighed_loss(victims: &[Victim]) -> i64 {
+    victims.iter().fold(0, |sum: i64, victim| {
+        sum.saturating_add(victim.weighed_loss)
+    })
 }
 
 /// Returns the tasks to stop so that one more task fits on a candidate; none if it cannot fit.
--- a/crates/scheduler/src/refill.rs
+++ b/crates/scheduler/src/refill.rs
@@ -1,5 +1,6 @@
 //! Frees the headroom for urgent groups by stopping tasks whose stop discards next to nothing.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 
 use crate::fit::{Candidate, find_places_on_one_rack, split_by_rack};
@@ -127,6 +128,16 @@
                 }
             }
         }
+        // Who is furthest above its entitlement yields first.
+        for here in all.values_mut() {
+            here.sort_by_key(|victim| {
+                let account = self.jobs[victim.task.group.job].account;
+                (
+                    Reverse(self.policy.shares.above_percent(account)),
+                    victim.task,
+                )
+            });
+        }
         all
     }
 
--- a/crates/scheduler/src/reservations.rs
+++ b/crates/scheduler/src/reservations.rs
@@ -24,6 +24,7 @@
             if let Some(worker) = self.workers.get_mut(*worker) {
                 worker.reserved += need;
             }
+            self.policy.shares.hold(self.jobs[group.job].account, need);
         }
         self.jobs[group.job].groups[group.group as usize].reservation = Some(Reservation {
             places,
@@ -41,6 +42,9 @@
             if let Some(worker) = self.workers.get_mut(*worker) {
                 worker.reserved -= need;
             }
+            self.policy
+                .shares
+                .release(self.jobs[group.job].account, need);
         }
         Some(reservation)
     }
--- a/crates/scheduler/src/schedule.rs
+++ b/crates/scheduler/src/schedule.rs
@@ -1,11 +1,11 @@
-//! One planning pass: the order of the groups, and where each task runs.
+//! One planning pass: where each task runs.
 
 use std::collections::HashSet;
 
 use slotmap::SecondaryMap;
 
 use crate::fit::{Candidate, find_best_candidate, find_places, find_places_on_one_rack};
-use crate::group::{GroupKey, JobKey, Phase, TaskKey};
+use crate::group::{GroupKey, Phase, TaskKey};
 use crate::job::JobState;
 use crate::overdue::{IdleWork, Reach};
 use crate::planner::Planner;
@@ -13,9 +13,6 @@
 use crate::unplaceable::{Access, Extent, Shape, Unplaceable};
 use crate::worker::WorkerKey;
 
-/// How long before its due time an occurrence may start; the platform tolerates 250 ms.
-const EARLY_START_MS: u64 = 0;
-
 /// Capacity that a pass withholds from work that is not urgent, and what found no room in it.
 #[derive(Debug, Default)]
 struct Withheld {
@@ -36,13 +33,8 @@
         self.stop_remaining_members(now_ms);
         self.settle_reservations(now_ms);
         let mut withheld = Withheld::default();
-        for group in self.list_ready_groups(now_ms, unix_ms) {
-            if self.jobs[group.job].groups[group.group as usize]
-                .reservation
-                .is_some()
-            {
-                continue;
-            }
+        let turns = self.list_turns(now_ms, unix_ms);
+        for group in turns.iter().map(|turn| turn.claim.group) {
             if self.jobs[group.job].stored.priority != 0 {
                 withheld
                     .headroom
@@ -54,63 +46,11 @@
                 .extend(self.preempt_for_group(group, now_ms));
             self.request_advice(group, reach, now_ms);
         }
+        self.report_passed_over(&turns);
         self.refill_headroom(now_ms);
         self.report_idle_jobs(now_ms);
     }
 
-    /// Returns the groups with tasks that are ready to start, by priority and then in the order of acceptance.
-    fn list_ready_groups(&mut self, now_ms: u64, unix_ms: u64) -> Vec<GroupKey> {
-        let mut ready: Vec<(u32, u64, GroupKey)> = Vec::new();
-        let mut urgent = Vec::new();
-        let jobs: Vec<JobKey> = self.jobs.keys().collect();
-        for key in jobs {
-            let job = &mut self.jobs[key];
-            if job.state.is_final() {
-                continue;
-            }
-            for group in 0..job.groups.len() {
-                let due = unix_ms + EARLY_START_MS
-                    >= job
-                        .stored
-                        .request
-                        .timing
-                        .due_unix_ms(job.groups[group].occurrence);
-                let waits = job.groups[group]
-                    .tasks
-                    .iter()
-                    .any(|t| t.phase == Phase::Waiting);
-                if !waits
-                    || job.groups[group].teardown_since_ms.is_some()
-                    || !due
-                    || !job.is_unblocked(group)
-                {
-                    continue;
-                }
-                let first = job.groups[group].ready_ms.is_none();
-                job.groups[group].ready_ms.get_or_insert(now_ms);
-                if first && job.stored.priority == 0 {
-                    urgent.push(GroupKey {
-                        job: key,
-                        group: group as u32,
-                    });
-                }
-                ready.push((
-                    job.stored.priority,
-                    job.order,
-                    GroupKey {
-                        job: key,
-                        group: group as u32,
-                    },
-                ));
-            }
-        }
-        for group in urgent {
-            self.record_urgent_arrival(group, now_ms);
-        }
-        ready.sort_unstable();
-        ready.into_iter().map(|(_, _, group)| group).collect()
-    }
-
     /// Returns the candidates of a group, without the capacity that is withheld from it.
     fn list_available_candidates(
         &self,
--- a/crates/scheduler/src/spec.rs
+++ b/crates/scheduler/src/spec.rs
@@ -70,6 +70,15 @@
         left -= *other;
         left
     }
+
+    /// Returns the resources of this many such tasks.
+    pub(crate) fn times(&self, count: i64) -> Resources {
+        Resources {
+            cpu_millis: self.cpu_millis.saturating_mul(count),
+            memory_mb: self.memory_mb.saturating_mul(count),
+            accelerators: self.accelerators.saturating_mul(count),
+        }
+    }
 }
 
 impl AddAssign for Resources {
