Count scattered room as scarce

Cause: gangs find no place in room that would do in sum; the order of acceptance then stood although not all fitted.

Change: work that may run anywhere on its service and found no room for two passes makes its room contested.

--- a/crates/scheduler/src/policy/shares/turns.rs
+++ b/crates/scheduler/src/policy/shares/turns.rs
@@ -33,6 +33,8 @@
     pub need: Resources,
     /// Whether the guarantee of its organisation covers it.
     pub is_guaranteed: bool,
+    /// Whether an earlier pass found no room for it, though it may run anywhere on the service.
+    pub is_left_waiting: bool,
     /// How long its first waiting task has waited.
     pub waited_ms: u64,
     /// How long ago it was first ready to start.
@@ -199,7 +201,8 @@
                 _ => room.free.minus(&room.headroom),
             };
             let is_contested = claims.iter().any(|c| c.account != claims[0].account);
-            if !is_scarce(&wanted, &free) || !is_contested {
+            let found_no_room = claims.iter().any(|claim| claim.is_left_waiting);
+            if !is_contested || !(found_no_room || is_scarce(&wanted, &free)) {
                 continue;
             }
             self.contested_ms = Some(now_ms);
--- a/crates/scheduler/src/schedule.rs
+++ b/crates/scheduler/src/schedule.rs
@@ -206,7 +206,7 @@
     }
 
     /// Returns whether a group may run on all workers of its service that have room, within its reach.
-    fn is_unrestricted(&self, group: GroupKey, reach: Reach) -> bool {
+    pub(crate) fn is_unrestricted(&self, group: GroupKey, reach: Reach) -> bool {
         let job = &self.jobs[group.job];
         let step = job.step_of(group.group as usize);
         job.stored.advice.is_none()
--- a/crates/scheduler/src/turns.rs
+++ b/crates/scheduler/src/turns.rs
@@ -4,6 +4,7 @@
 use std::collections::{HashMap, HashSet};
 
 use crate::group::{GroupKey, JobKey, Phase};
+use crate::overdue::Reach;
 use crate::planner::Planner;
 use crate::policy::shares::{AccountKey, Claim, Room, Turn, YieldReason};
 use crate::spec::Resources;
@@ -11,6 +12,10 @@
 /// How long before its due time an occurrence may start; the platform tolerates 250 ms.
 const EARLY_START_MS: u64 = 0;
 
+/// What has waited for this long found no room in an earlier pass: the time of two passes, of which there is one every
+/// 50 ms at least.
+const LEFT_WAITING_MS: u64 = 100;
+
 /// The most groups logged in one pass as passed over; the others follow in the next ones.
 const MAX_LINES_PER_PASS: usize = 8;
 
@@ -137,16 +142,21 @@
             true => (0, None),
             false => (job.slack_ms(step), Some(self.worthwhile_wait_ms(key))),
         };
+        let need = job
+            .need_of(key.group as usize)
+            .times(can_start.count() as i64);
+        let waited_ms = group.waited_ms(now_ms);
         Claim {
             group: key,
             priority: job.stored.priority,
             order: job.order,
             account: job.account,
-            need: job
-                .need_of(key.group as usize)
-                .times(can_start.count() as i64),
+            need,
             is_guaranteed,
-            waited_ms: group.waited_ms(now_ms),
+            is_left_waiting: waited_ms >= LEFT_WAITING_MS
+                && need != Resources::default()
+                && self.is_unrestricted(key, Reach::Usual),
+            waited_ms,
             ready_for_ms: now_ms.saturating_sub(group.ready_ms.unwrap_or(now_ms)),
             slack_ms,
             worthwhile_ms,
--- a/crates/scheduler/tests/shares.rs
+++ b/crates/scheduler/tests/shares.rs
@@ -198,6 +198,41 @@
     assert_eq!(started_jobs(&harness.start_all()), [first]);
 }
 
+/// Free room that is scattered so that nothing fits is scarce as well, though it would do in sum.
+#[rstest]
+#[case::left_waiting(200, 2)]
+#[case::just_come(0, 1)]
+fn scattered_room_is_scarce(#[case] waited_ms: u64, #[case] first: u64) {
+    let mut harness = Harness::with_workers(4);
+    // Takes more than half of each worker, and leaves 12 of 32 accelerators.
+    let stored = StoredJob {
+        organisation: "c".to_string(),
+        ..job(9, 1, vec![step(4, 5)])
+    };
+    add(&mut harness, stored);
+    let runs = harness.start_all();
+    assert_eq!(starts(&runs).len(), 4);
+    for (id, organisation, goal_ms) in [(1, "a", 5_000), (2, "b", 4_000)] {
+        let stored = StoredJob {
+            organisation: organisation.to_string(),
+            goal_ms,
+            ..job(id, 1, vec![step(1, 6)])
+        };
+        add(&mut harness, stored);
+    }
+    if waited_ms > 0 {
+        assert!(harness.start_all().is_empty());
+    }
+    wait(&mut harness, &runs, waited_ms);
+    let over = vec![ended(&runs[0], 1, RunOutcome::Done, "")];
+    let index = harness
+        .workers
+        .iter()
+        .position(|w| *w == worker_of(&runs[0]));
+    harness.report(index.unwrap(), vec![], over);
+    assert_eq!(started_jobs(&harness.start_all()), [first]);
+}
+
 #[test]
 fn gang_starts_whole_in_its_turn() {
     let mut harness = Harness::with_workers(4);
