--- a/crates/scheduler/tests/shares.rs
+++ b/crates/scheduler/tests/shares.rs
@@ -10,7 +10,8 @@
 use rstest::rstest;
 use scheduler::prelude::*;
 use scheduler::{
-    BodyLimits, Configuration, Organisation, PolicyRecord, RunOutcome, SharesRecord, StoredJob,
+    BodyLimits, Configuration, JobId, Organisation, PolicyRecord, RunOutcome, SharesRecord,
+    StoredJob,
 };
 use support::{Harness, ended, entry, job, limits, running, starts, step, stops, worker_of};
 
@@ -198,6 +199,41 @@
     assert_eq!(started_jobs(&harness.start_all()), [first]);
 }
 
+/// Free room that is scattered so that nothing fits is scarce as well, though it would do in sum.
+#[rstest]
+#[case::left_waiting(200, 2)]
+#[case::just_come(0, 1)]
+fn scattered_room_is_scarce(#[case] waited_ms: u64, #[case] first: u64) {
+    let mut harness = Harness::with_workers(4);
+    // Takes more than half of each worker, and leaves 12 of 32 accelerators.
+    let stored = StoredJob {
+        organisation: "c".to_string(),
+        ..job(9, 1, vec![step(4, 5)])
+    };
+    add(&mut harness, stored);
+    let runs = harness.start_all();
+    assert_eq!(starts(&runs).len(), 4);
+    for (id, organisation, goal_ms) in [(1, "a", 5_000), (2, "b", 4_000)] {
+        let stored = StoredJob {
+            organisation: organisation.to_string(),
+            goal_ms,
+            ..job(id, 1, vec![step(1, 6)])
+        };
+        add(&mut harness, stored);
+    }
+    if waited_ms > 0 {
+        assert!(harness.start_all().is_empty());
+    }
+    wait(&mut harness, &runs, waited_ms);
+    let over = vec![ended(&runs[0], 1, RunOutcome::Done, "")];
+    let index = harness
+        .workers
+        .iter()
+        .position(|w| *w == worker_of(&runs[0]));
+    harness.report(index.unwrap(), vec![], over);
+    assert_eq!(started_jobs(&harness.start_all()), [first]);
+}
+
 #[test]
 fn gang_starts_whole_in_its_turn() {
     let mut harness = Harness::with_workers(4);
@@ -309,9 +345,12 @@
     assert_eq!(flush.policy, None);
 }
 
-/// Of work whose stop loses the same, that of the organisation furthest above its entitlement yields.
-#[test]
-fn organisation_above_entitlement_yields_room() {
+/// Of work whose stop loses the same, that of the organisation furthest above its entitlement yields, as long as several
+/// organisations wait.
+#[rstest]
+#[case::contested(true)]
+#[case::no_longer_contested(false)]
+fn organisation_above_entitlement_yields_room(#[case] contested: bool) {
     let mut harness = Harness::with_workers(4);
     add(&mut harness, small_job(1, "b", 2));
     for id in 2..=4 {
@@ -322,16 +361,18 @@
     // Both wait for more, so that the room is contested.
     add(&mut harness, small_job(5, "b", 2));
     add(&mut harness, small_job(6, "burst", 2));
-    for id in 7..=8 {
-        wait(&mut harness, &runs, 100);
-        add(&mut harness, small_job(id, "c", 0));
-        let stopped = stops(&harness.plan());
-        assert_eq!(stopped.len(), 1);
-        assert!(
-            !stopped[0].0.starts_with("0000000000000001"),
-            "the organisation within its entitlement keeps its room"
-        );
+    harness.start_all();
+    if !contested {
+        for id in [5, 6] {
+            harness.planner.cancel_job(JobId::from(id), harness.now_ms);
+        }
     }
+    wait(&mut harness, &runs, 1_000);
+    add(&mut harness, small_job(7, "c", 0));
+    let stopped = stops(&harness.plan());
+    assert_eq!(stopped.len(), 1);
+    let is_of_burst = !stopped[0].0.starts_with("0000000000000001");
+    assert_eq!(is_of_burst, contested);
 }
 
 #[test]
