Decide about groups beside a worker that goes, at its notice

Cause: leaving.rs left a gang alone unless all its members leave, so a group with one member on a leaving worker worked on for up to 11 s and was lost whole. Change: policy/departures.rs weighs each gang and single task on such a worker, and each gang with a member that does not answer: the observed rate (the estimate within a factor of three before that) against the earliest leave, and what a stop discards against what is lost. A gang that moves has its room reserved. leaving.rs finds the cases and carries out.

--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -70,6 +70,12 @@
     Preempted,
     /// Tasks stopped before their worker may leave.
     StoppedBeforeLeave,
+    /// Tasks stopped to go on elsewhere, since they were not likely to end before their worker may leave.
+    MovedBeforeLeave,
+    /// Tasks of gangs stopped for others, since they cannot end before one of their workers goes.
+    StoppedWithoutHope,
+    /// Decisions that a gang goes on although one of its workers is expected to go.
+    KeptAtRisk,
     /// Tasks lost because their worker's lease expired or its incarnation ended.
     TasksLost,
     /// Jobs given up because a task crashed one worker after the other.
--- a/crates/control/src/term.rs
+++ b/crates/control/src/term.rs
@@ -307,6 +307,11 @@
     node.metrics.set(Counter::Preempted, counts.preempted);
     node.metrics
         .set(Counter::StoppedBeforeLeave, counts.stopped_before_leave);
+    node.metrics
+        .set(Counter::MovedBeforeLeave, counts.moved_before_leave);
+    node.metrics
+        .set(Counter::StoppedWithoutHope, counts.stopped_without_hope);
+    node.metrics.set(Counter::KeptAtRisk, counts.kept_at_risk);
     node.metrics.set(Counter::TasksLost, counts.lost);
     node.metrics.set(Counter::JobsGivenUp, counts.given_up);
     node.metrics
--- a/crates/scheduler/src/counts.rs
+++ b/crates/scheduler/src/counts.rs
@@ -13,6 +13,12 @@
     pub preempted: u64,
     /// Runs that were stopped before their worker may leave.
     pub stopped_before_leave: u64,
+    /// Runs that were stopped to go on elsewhere, since they were not likely to end before their worker may leave.
+    pub moved_before_leave: u64,
+    /// Runs of gangs that were stopped since they cannot end before one of their workers goes.
+    pub stopped_without_hope: u64,
+    /// Decisions that a gang goes on although one of its workers is expected to go.
+    pub kept_at_risk: u64,
     /// Runs lost with their worker or its lease.
     pub lost: u64,
     /// Runs that ended because another member of their gang ended.
--- a/crates/scheduler/src/events.rs
+++ b/crates/scheduler/src/events.rs
@@ -210,6 +210,7 @@
         if percent > task.percent {
             task.percent = percent;
             task.progressed_ms = now_ms;
+            task.observed_from.get_or_insert((percent, now_ms));
         }
         let fresh = !progress.is_empty() && task.progress != progress;
         if fresh {
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -91,6 +91,8 @@
     pub pace_set_ms: u64,
     /// Completed share of the work, in hundredths, as last reported.
     pub percent: u32,
+    /// The first share above 0 that was reported of the current run, and when.
+    pub observed_from: Option<(u32, u64)>,
     /// When the task entered its phase.
     pub since_ms: u64,
     /// When the current run was assigned to its worker, or its start was sent.
@@ -123,6 +125,7 @@
             pace_percent: 100,
             pace_set_ms: 0,
             percent: 0,
+            observed_from: None,
             since_ms: now_ms,
             placed_ms: 0,
             started_ms: 0,
--- a/crates/scheduler/src/planner.rs
+++ b/crates/scheduler/src/planner.rs
@@ -419,7 +419,7 @@
         };
         task.phase = phase;
         task.run = run;
-        task.percent = 0;
+        (task.percent, task.observed_from) = (0, None);
         task.last_metric = 0;
         (task.is_listed, task.start_in_doubt) = (false, false);
         (task.pace_percent, task.pace_set_ms) = (100, now_ms);
--- a/crates/scheduler/src/policy/mod.rs
+++ b/crates/scheduler/src/policy/mod.rs
@@ -4,6 +4,7 @@
 //! keeps the state of all parts in one [`Policy`], feeds it, and carries out what it decides. What a successor needs of
 //! that state is written to the store as [`SharesRecord`] and [`LearnedRecord`].
 
+pub(crate) mod departures;
 pub(crate) mod durations;
 mod memory;
 pub(crate) mod shares;
@@ -14,6 +15,7 @@
 pub use shares::SharesRecord;
 pub use speeds::SpeedsRecord;
 
+use departures::Departures;
 use durations::Durations;
 use memory::Memory;
 use shares::Shares;
@@ -28,5 +30,7 @@
     pub durations: Durations,
     /// How fast machines are.
     pub speeds: Speeds,
+    /// What was decided about work whose worker is expected to go.
+    pub departures: Departures,
     memory: Memory,
 }
--- a/crates/scheduler/src/reservations.rs
+++ b/crates/scheduler/src/reservations.rs
@@ -73,16 +73,21 @@
         for (_, worker) in &reservation.places {
             *wanted.entry(*worker).or_default() += need;
         }
-        let waits = reservation
-            .places
-            .iter()
-            .all(|(index, _)| group_state.tasks[*index as usize].phase == Phase::Waiting);
+        let phases = || {
+            reservation
+                .places
+                .iter()
+                .map(|(index, _)| group_state.tasks[*index as usize].phase)
+        };
+        // A gang that moves to its reserved capacity has to end first.
+        let may_start = phases().all(|p| matches!(p, Phase::Waiting | Phase::Stopping { .. }));
+        let waits = phases().all(|phase| phase == Phase::Waiting);
         let usable = wanted.keys().all(|w| {
             self.workers
                 .get(*w)
                 .is_some_and(|w| self.is_usable(w, now_ms))
         });
-        if !waits
+        if !may_start
             || !usable
             || now_ms > reservation.since_ms + self.limits.stop_grace_ms + RESERVATION_MARGIN_MS
         {
@@ -95,7 +100,10 @@
                 .get(*worker)
                 .is_some_and(|w| need.fits(&(w.free() + w.reserved)))
         });
-        if free && let Some(reservation) = self.release_reservation(group) {
+        if waits
+            && free
+            && let Some(reservation) = self.release_reservation(group)
+        {
             self.assign_group(group, &reservation.places, now_ms);
         }
     }
--- a/crates/scheduler/src/schedule.rs
+++ b/crates/scheduler/src/schedule.rs
@@ -7,6 +7,7 @@
 use crate::fit::{Candidate, find_best_candidate, find_places, find_places_on_one_rack};
 use crate::group::{GroupKey, JobKey, Phase, TaskKey};
 use crate::job::JobState;
+use crate::leaving::Kept;
 use crate::overdue::{IdleWork, Reach};
 use crate::planner::Planner;
 use crate::spec::Resources;
@@ -32,11 +33,11 @@
     pub fn plan(&mut self, now_ms: u64, unix_ms: u64) {
         self.changed = false;
         self.expire_leases(now_ms);
-        self.stop_before_leave(now_ms);
         self.stop_remaining_members(now_ms);
         self.settle_reservations(now_ms);
         let mut withheld = Withheld::default();
-        for group in self.list_ready_groups(now_ms, unix_ms) {
+        let ready = self.list_ready_groups(now_ms, unix_ms);
+        for &group in &ready {
             if self.jobs[group.job].groups[group.group as usize]
                 .reservation
                 .is_some()
@@ -54,6 +55,12 @@
                 .extend(self.preempt_for_group(group, now_ms));
             self.request_advice(group, reach, now_ms);
         }
+        let kept = Kept {
+            workers: &withheld.workers,
+            headroom: &mut withheld.headroom,
+            ready: &ready,
+        };
+        self.decide_departures(kept, now_ms);
         self.refill_headroom(now_ms);
         self.report_idle_jobs(now_ms);
     }
