--- a/crates/scheduler/src/policy/departures.rs
+++ b/crates/scheduler/src/policy/departures.rs
@@ -235,7 +235,8 @@
         if self.left_ms < LEAST_GAIN_MS {
             return Verdict::Keep(Keep::LittleGain);
         }
-        if !self.is_worth_stopping(chance) {
+        // Reports narrow the range soon; as long as the end is as likely, what was done is not given up for it.
+        if chance >= 50 || !self.is_worth_stopping(chance) {
             return Verdict::Keep(Keep::MayEnd);
         }
         if offer.has_room() {
