--- a/crates/scheduler/src/events.rs
+++ b/crates/scheduler/src/events.rs
@@ -215,6 +215,7 @@
         if grew {
             task.percent = percent;
             task.progressed_ms = now_ms;
+            task.observed_from.get_or_insert((percent, now_ms));
         }
         let fresh = !progress.is_empty() && task.progress != progress;
         if fresh {
--- a/crates/scheduler/src/policy/mod.rs
+++ b/crates/scheduler/src/policy/mod.rs
@@ -4,6 +4,7 @@
 //! keeps the state of all parts in one [`Policy`], feeds it, and carries out what it decides. What a successor needs of
 //! that state is written to the store as [`SharesRecord`] and [`LearnedRecord`].
 
+pub(crate) mod departures;
 pub(crate) mod durations;
 pub(crate) mod failures;
 mod memory;
@@ -16,6 +17,7 @@
 pub use shares::SharesRecord;
 pub use speeds::SpeedsRecord;
 
+use departures::Departures;
 use durations::Durations;
 use failures::Failures;
 use memory::Memory;
@@ -33,5 +35,7 @@
     pub speeds: Speeds,
     /// The latest failures of each service.
     pub failures: Failures,
+    /// What was decided about work whose worker is expected to go.
+    pub departures: Departures,
     memory: Memory,
 }
