Move runs that stand still, and quarantine workers on which they do

Nothing was done: the runs and their gangs waited, and new work went there.

Change: policy/stragglers.rs recognises a run that has not grown for longer than its rate so far explains, on the worker's clock. It moves once it has stood still for 1.25 times what a move loses (stop, restoring, work to be done again), if there is room elsewhere, once per group, by the existing stop of a task or gang; the next start waits for the end of the stop. A worker on which several runs stand still and none works is quarantined if they are of several jobs or if their siblings work elsewhere; one straggler says nothing about its worker.

--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -80,6 +80,12 @@
     AttemptsKept,
     /// Tasks that failed by their job's own fault, while many workers failed.
     FailedByJob,
+    /// Runs, or gangs, moved because they stood still.
+    MovedStill,
+    /// Answers of workers by which a run, or a gang, that stood still stayed where it was.
+    StillKept,
+    /// Workers quarantined because their runs stood still.
+    QuarantinedStill,
     /// Tasks that failed.
     TasksFailed,
     /// Tasks that ended because another member of their gang did.
--- a/crates/control/src/term.rs
+++ b/crates/control/src/term.rs
@@ -314,6 +314,10 @@
     node.metrics
         .set(Counter::AttemptsKept, counts.attempts_kept);
     node.metrics.set(Counter::FailedByJob, counts.failed_by_job);
+    node.metrics.set(Counter::MovedStill, counts.moved_still);
+    node.metrics.set(Counter::StillKept, counts.still_kept);
+    node.metrics
+        .set(Counter::QuarantinedStill, counts.quarantined_still);
     node.metrics
         .set(Counter::EntriesSetAside, counts.entries_set_aside);
     node.metrics
--- a/crates/scheduler/src/counts.rs
+++ b/crates/scheduler/src/counts.rs
@@ -29,6 +29,12 @@
     pub quarantined_in_burst: u64,
     /// Attempts that were kept for workers known to work, during a burst of failures.
     pub attempts_kept: u64,
+    /// Runs, or gangs, that were moved because they stood still.
+    pub moved_still: u64,
+    /// Answers of workers by which a run, or a gang, that stood still stayed where it was.
+    pub still_kept: u64,
+    /// Workers that were quarantined because runs of several jobs stood still there.
+    pub quarantined_still: u64,
     /// Runs that failed by their job's own fault, during a burst of failures.
     pub failed_by_job: u64,
     /// Entries of the list that contradict what their worker itself has said.
--- a/crates/scheduler/src/events.rs
+++ b/crates/scheduler/src/events.rs
@@ -146,6 +146,7 @@
             self.end_run(key, ended, now_ms);
         }
         self.reconcile_running(key, report, first);
+        self.check_still_runs(key, now_ms);
         self.set_pace(key, now_ms);
     }
 
@@ -164,6 +165,9 @@
                 Some(task) => {
                     listed.insert(task);
                     self.update_progress(task, key, active, now_ms);
+                    if let Some(task) = self.task_mut(task) {
+                        task.growth.record(active.percent, report.worker_clock_ms);
+                    }
                 }
                 None => {
                     orphaned_runs.insert((active.task, active.run));
--- a/crates/scheduler/src/fit.rs
+++ b/crates/scheduler/src/fit.rs
@@ -174,6 +174,10 @@
         let mut candidates = Vec::with_capacity(self.workers.len());
         let joins_suspects = self.may_join_suspects(group, now_ms);
         let proven = self.needs_proven_workers(group, reach, now_ms);
+        let shunned = self.jobs[group.job].groups[group.group as usize]
+            .shunned
+            .filter(|(_, until_ms)| reach == Reach::Usual && now_ms < *until_ms)
+            .map(|(worker, _)| worker);
         let data_rack = &self.jobs[group.job].step_of(group.group as usize).data_rack;
         let data_rack = data_rack.as_ref().map(|rack| self.racks.find(rack));
         for (key, worker) in &self.workers {
@@ -182,6 +186,7 @@
             if !self.is_reachable(worker, now_ms)
                 || !is_trusted && reach == Reach::Usual
                 || is_held && !joins_suspects
+                || shunned == Some(key)
                 || proven.is_some_and(|burst| !worker.health.is_proven(burst))
             {
                 continue;
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -4,6 +4,7 @@
 
 use crate::advice::Tickets;
 use crate::crashes::CrashCounts;
+use crate::policy::stragglers::Growth;
 use crate::spec::StepSpec;
 use crate::worker::WorkerKey;
 
@@ -109,6 +110,8 @@
     pub start_in_doubt: bool,
     /// Whether an earlier run has done the work; the current one is being stopped.
     pub is_done_before: bool,
+    /// How the reported share of the current run has grown.
+    pub growth: Growth,
 }
 
 impl Task {
@@ -132,6 +135,7 @@
             is_listed: false,
             start_in_doubt: false,
             is_done_before: false,
+            growth: Growth::default(),
         }
     }
 
@@ -175,6 +179,10 @@
     pub ready_ms: Option<u64>,
     /// Whether it may have been ready for long when this planner took over.
     pub was_ready_before: bool,
+    /// How often runs of it were moved because they stood still.
+    pub moves: u32,
+    /// The worker on which a run of it stood still, and until when the group avoids it.
+    pub shunned: Option<(WorkerKey, u64)>,
 }
 
 impl Group {
@@ -190,6 +198,8 @@
             tickets: Tickets::default(),
             ready_ms: None,
             was_ready_before: false,
+            moves: 0,
+            shunned: None,
         }
     }
 
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -35,6 +35,7 @@
 mod restore;
 mod schedule;
 mod spec;
+mod straggling;
 mod task;
 mod unplaceable;
 mod unstored;
--- a/crates/scheduler/src/planner.rs
+++ b/crates/scheduler/src/planner.rs
@@ -9,6 +9,7 @@
 use crate::group::{GroupKey, JobKey, Phase, Task, TaskKey};
 use crate::job::Job;
 use crate::orders::{Flush, Order, RecordWrite, StoredEnds};
+use crate::policy::stragglers::Growth;
 use crate::policy::{LearnedRecord, Policy, SharesRecord};
 use crate::spec::Resources;
 use crate::task::JobId;
@@ -422,6 +423,7 @@
         task.percent = 0;
         task.last_metric = 0;
         (task.is_listed, task.start_in_doubt) = (false, false);
+        task.growth = Growth::default();
         (task.pace_percent, task.pace_set_ms) = (100, now_ms);
         task.since_ms = now_ms;
         task.placed_ms = now_ms;
--- a/crates/scheduler/src/policy/mod.rs
+++ b/crates/scheduler/src/policy/mod.rs
@@ -9,6 +9,7 @@
 mod memory;
 pub(crate) mod shares;
 pub(crate) mod speeds;
+pub(crate) mod stragglers;
 
 pub use durations::DurationsRecord;
 pub(crate) use failures::Health;
--- a/crates/scheduler/src/schedule.rs
+++ b/crates/scheduler/src/schedule.rs
@@ -274,6 +274,7 @@
             && (step.data_rack.is_none() || reach == Reach::Anywhere)
             && step.most_per_worker == 0
             && self.needs_proven_workers(group, reach, now_ms).is_none()
+            && job.groups[group.group as usize].shunned.is_none()
     }
 
     /// Places each task of a group that fits somewhere, up to a number of them.
