--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -4,6 +4,7 @@
 
 use crate::advice::Tickets;
 use crate::crashes::CrashCounts;
+use crate::policy::stragglers::Growth;
 use crate::spec::StepSpec;
 use crate::worker::WorkerKey;
 
@@ -111,6 +112,8 @@
     pub start_in_doubt: bool,
     /// Whether an earlier run has done the work; the current one is being stopped.
     pub is_done_before: bool,
+    /// How the reported share of the current run has grown.
+    pub growth: Growth,
 }
 
 impl Task {
@@ -135,6 +138,7 @@
             is_listed: false,
             start_in_doubt: false,
             is_done_before: false,
+            growth: Growth::default(),
         }
     }
 
@@ -180,6 +184,10 @@
     pub was_ready_before: bool,
     /// Whether it was logged that a group of another organisation went before it.
     pub is_passed_over: bool,
+    /// How often runs of it were moved because they stood still.
+    pub moves: u32,
+    /// The worker on which a run of it stood still, and until when the group avoids it.
+    pub shunned: Option<(WorkerKey, u64)>,
 }
 
 impl Group {
@@ -196,6 +204,8 @@
             ready_ms: None,
             was_ready_before: false,
             is_passed_over: false,
+            moves: 0,
+            shunned: None,
         }
     }
 
--- a/crates/scheduler/src/planner.rs
+++ b/crates/scheduler/src/planner.rs
@@ -10,6 +10,7 @@
 use crate::job::Job;
 use crate::orders::{Flush, Order, RecordWrite, StoredEnds};
 use crate::policy::shares::AccountKey;
+use crate::policy::stragglers::Growth;
 use crate::policy::{LearnedRecord, Policy, SharesRecord};
 use crate::spec::Resources;
 use crate::task::JobId;
@@ -424,6 +425,7 @@
         (task.percent, task.observed_from) = (0, None);
         task.last_metric = 0;
         (task.is_listed, task.start_in_doubt) = (false, false);
+        task.growth = Growth::default();
         (task.pace_percent, task.pace_set_ms) = (100, now_ms);
         task.since_ms = now_ms;
         task.placed_ms = now_ms;
