--- a/crates/control/src/hand_over.rs
+++ b/crates/control/src/hand_over.rs
@@ -16,19 +16,13 @@
 use crate::keys;
 use crate::metrics::Counter;
 use crate::node::Node;
+use crate::polling::listen_pause_ms;
 use crate::takeover::log_unreadable_item;
 use crate::term::Term;
 
 /// How long a call waits at a worker for a run to end.
 const WAIT_MS: u64 = 500;
 
-/// The shortest delay before the next call to a worker that lists ends, which it answers at once, or that did not answer.
-/// A worker that leaves is not heard in between.
-const MIN_LISTEN_PAUSE_MS: u64 = 40;
-
-/// The most calls per second to all workers that list ends, so that a node on a small VM keeps up.
-const MAX_LISTEN_CALLS_PER_S: u64 = 2_000;
-
 /// How often what was heard is written.
 const WRITE_EVERY_MS: u64 = 100;
 
@@ -78,11 +72,6 @@
     }
 }
 
-/// Returns the delay between two calls to each of several workers that list ends.
-fn listen_pause_ms(workers: usize) -> u64 {
-    (workers as u64 * 1_000 / MAX_LISTEN_CALLS_PER_S).max(MIN_LISTEN_PAUSE_MS)
-}
-
 /// Applies a worker's lists to the planner of a term that has ended, until nothing runs there or it has heard the next
 /// planner.
 async fn listen(term: Arc<Term>, key: WorkerKey, pause_ms: u64) {
--- a/crates/control/src/lease_renewal.rs
+++ b/crates/control/src/lease_renewal.rs
@@ -1,6 +1,7 @@
 //! Renews one worker's lease, confirms the ended runs that are stored, and reports to the planner what runs there.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use adapter::{CallError, LeaseRenewal, WorkerReply};
@@ -8,6 +9,7 @@
 
 use crate::clock::now_ms;
 use crate::metrics::Counter;
+use crate::polling::{MIN_PAUSE_MS, poll_pause_ms};
 use crate::term::Term;
 
 /// How long a renewal waits at the worker for a run to end; the platform's documentation allows this value.
@@ -20,12 +22,6 @@
 /// How long a renewal waits at a leaving worker: its lease is short, and it may exit at any time.
 const LEAVING_WORKER_WAIT_MS: u64 = 500;
 
-/// How long to wait for ended runs to be stored before the next renewal.
-const STORE_WAIT_MS: u64 = 300;
-
-/// The same at a leaving worker: what ends there has to be listed before it exits.
-const LEAVING_STORE_WAIT_MS: u64 = 40;
-
 /// Delay after an unanswered renewal.
 const RETRY_PAUSE_MS: u64 = 100;
 
@@ -74,8 +70,8 @@
         let pause_ms = match apply_answer(&term, key, &address, answer) {
             RenewalOutcome::Answered => {
                 (first_renewal, new_connection, place) = (false, false, Place::Own);
-                if let Some(wait_ms) = store_wait_ms(&term, key) {
-                    let _ = tokio::time::timeout(Duration::from_millis(wait_ms), stored).await;
+                if term.lock_planner().has_unstored_ends(key) {
+                    wait_for_store(&term, key, stored).await;
                 }
                 continue;
             }
@@ -92,14 +88,39 @@
     }
 }
 
-/// Returns how long to wait until ended runs that a worker has listed are stored; none if all are.
-fn store_wait_ms(term: &Term, key: WorkerKey) -> Option<u64> {
-    let planner = term.lock_planner();
-    let wait_ms = match is_leaving(&planner, key) {
-        true => LEAVING_STORE_WAIT_MS,
-        false => STORE_WAIT_MS,
+/// Waits until ended runs that a worker has listed are stored, or until it has to be asked again: until they are, it is not
+/// heard while it is not asked, since its renewals do not wait for the next end.
+async fn wait_for_store(term: &Term, key: WorkerKey, stored: impl Future<Output = ()>) {
+    let waiting = WaitingForStore::begin(term);
+    let pause_ms = match is_leaving(&term.lock_planner(), key) {
+        // What ends there has to be listed before it exits.
+        true => MIN_PAUSE_MS,
+        false => poll_pause_ms(waiting.workers),
     };
-    planner.has_unstored_ends(key).then_some(wait_ms)
+    let _ = tokio::time::timeout(Duration::from_millis(pause_ms), stored).await;
+}
+
+/// Counts a worker among those whose ended runs are not stored, until dropped.
+struct WaitingForStore<'t> {
+    term: &'t Term,
+    /// How many there are, with this one.
+    workers: usize,
+}
+
+impl WaitingForStore<'_> {
+    fn begin(term: &Term) -> WaitingForStore<'_> {
+        let others = term.waiting_for_store.fetch_add(1, Ordering::Relaxed);
+        WaitingForStore {
+            term,
+            workers: others + 1,
+        }
+    }
+}
+
+impl Drop for WaitingForStore<'_> {
+    fn drop(&mut self) {
+        self.term.waiting_for_store.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 fn is_leaving(planner: &Planner, key: WorkerKey) -> bool {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -26,6 +26,7 @@
 mod node;
 mod orders;
 mod peers;
+pub mod polling;
 mod record_writer;
 mod reply;
 mod request_watch;
--- a/crates/control/src/term.rs
+++ b/crates/control/src/term.rs
@@ -1,6 +1,6 @@
 //! One term of a leader: takes over, then plans until the lead is lost.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -52,6 +52,8 @@
     pub wake: Notify,
     /// Signals that ended runs listed by workers have been stored.
     pub ends_stored: Notify,
+    /// Number of workers that have listed ended runs that are not stored, and that wait to be asked again.
+    pub waiting_for_store: AtomicUsize,
     /// Cancels everything that this term has started.
     cancellation: CancellationToken,
 }
@@ -98,6 +100,7 @@
         workers_asked_ms: AtomicU64::new(0),
         wake: Notify::new(),
         ends_stored: Notify::new(),
+        waiting_for_store: AtomicUsize::new(0),
         cancellation: CancellationToken::new(),
         node: node.clone(),
         lead,
--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -50,7 +50,6 @@
 
 /// A worker loses power for good 0.1 s after a task was done in an outage of the store.
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "known red: issue 34"]
 async fn soak_holds_all_kinds_again() {
     assert_holds(3, &FaultKind::all()).await;
 }
