Read before writing while the store is away, and settle calls in doubt

Cause: a submission was written although the node had seen that the store was away. A store that resets the connection may carry such a write out, so the caller got 504; peers that were asked wrote too. The callers repeat a 504 within 0.1 s and use up their attempts before the store is back. Change: outage.rs decides how a submission begins (the job is read first while the store is away for this node or for the peer that passed the call on; a read that fails leaves no doubt, so the 503 is true) and what is done with a call in doubt (repeated under the same condition every 100 ms until its deadline; never refused; 504 at once if the node stops or the call is not permitted any more). settle.rs carries it out and logs it. Of the tests, submission_is_refused_as_not_sent_while_store_is_away answers 504 if nothing is read first.

--- a/crates/control/src/call.rs
+++ b/crates/control/src/call.rs
@@ -49,6 +49,8 @@
     pub key: Option<String>,
     /// The queue or job that the call addresses.
     pub target: Target,
+    /// Whether a peer has passed it on, because the store does not answer that one.
+    pub passed_on: bool,
 }
 
 /// A call that the configuration permits.
--- a/crates/control/src/intake.rs
+++ b/crates/control/src/intake.rs
@@ -12,9 +12,11 @@
 use crate::clock::now_ms;
 use crate::configuration::apply_configuration;
 use crate::configuration_cache::ActiveConfiguration;
+use crate::job_calls::read_item;
 use crate::keys;
 use crate::metrics::{Counter, Timing};
 use crate::node::Node;
+use crate::outage::{FirstStep, choose_first_step};
 use crate::reply::Reply;
 
 /// Delay before retrying a call that the store did not carry out.
@@ -72,6 +74,15 @@
     id: JobId,
     request: &JobRequest,
 ) -> Reply {
+    if choose_first_step(node.is_store_reachable(), call.passed_on) == FirstStep::ReadFirst {
+        node.metrics.count(Counter::ReadBeforeWrite);
+        match read_item(node, call, &keys::job(id)).await {
+            // Its write was conditional on the configuration that the caller's key had been checked against.
+            Ok(Some(_)) => return answer_known(node),
+            Ok(None) => {}
+            Err(reply) => return reply,
+        }
+    }
     let mut failures = FailedAttempts::default();
     loop {
         let Some(active) = node.configuration.latest() else {
@@ -103,8 +114,7 @@
                     .iter()
                     .any(|item| item.key == job || item.key == record)
                 {
-                    node.metrics.count(Counter::JobsKnown);
-                    return Reply::State(JobState::Pending);
+                    return answer_known(node);
                 }
                 let newer = items
                     .iter()
@@ -122,6 +132,12 @@
     }
 }
 
+/// Answers a submission whose job is stored already.
+fn answer_known(node: &Node) -> Reply {
+    node.metrics.count(Counter::JobsKnown);
+    Reply::State(JobState::Pending)
+}
+
 /// Builds the write that accepts a job. Checks the caller against the configuration that the write is conditional on.
 fn build_txn(
     active: &ActiveConfiguration,
--- a/crates/control/src/job_calls.rs
+++ b/crates/control/src/job_calls.rs
@@ -29,7 +29,7 @@
 }
 
 /// Reads an item for a request, and retries on a new connection if the store does not answer.
-async fn read_item(node: &Node, call: &Call, key: &str) -> Result<Option<Item>, Reply> {
+pub(crate) async fn read_item(node: &Node, call: &Call, key: &str) -> Result<Option<Item>, Reply> {
     let mut failed = 0;
     let retry_limits = retry_limits(node);
     loop {
--- a/crates/control/src/jobs_api.rs
+++ b/crates/control/src/jobs_api.rs
@@ -22,6 +22,7 @@
 use crate::node::Node;
 use crate::reply::Reply;
 use crate::requests::{ActiveRequest, DEFAULT_WAIT_MS, log_reply};
+use crate::settle::Settling;
 
 /// Thousandths of a core reserved with each accelerator; the API asks for accelerators only.
 const CPU_MILLIS_PER_ACCELERATOR: i64 = 1_000;
@@ -74,6 +75,7 @@
             target: Target::OwnJob {
                 id: path.rsplit('/').next().unwrap_or_default().to_string(),
             },
+            passed_on: false,
         };
         let method = request.method().clone();
         let (call, reply) = match path.strip_prefix(JOBS_PATH) {
@@ -164,7 +166,14 @@
             return (call, Answer::Other(reply));
         }
     };
-    let answer = match accept_request(node, &call, id, &request).await {
+    let mut settling = Settling::begin(node, &call);
+    let reply = loop {
+        let reply = accept_request(node, &call, id, &request).await;
+        if let Some(reply) = settling.judge(reply).await {
+            break reply;
+        }
+    };
+    let answer = match reply {
         Reply::State(_) => Answer::Accepted(Accepted {
             job: id.to_string(),
             durable: true,
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -18,6 +18,8 @@
     JobsAccepted,
     /// Submissions repeated under an id that is already stored.
     JobsKnown,
+    /// Submissions whose job was read before the write, because the store was away for this node or for a peer.
+    ReadBeforeWrite,
     /// Refused: no queue has that host and path.
     RefusedNoQueue,
     /// Refused: unknown key.
@@ -40,6 +42,8 @@
     PassedOnInVain,
     /// Calls answered for another node.
     AnsweredForPeer,
+    /// Calls in doubt that were settled within their caller's deadline.
+    DoubtSettled,
     /// Answered 504: it is not known whether the store carried out the call.
     OutcomeUnknown,
     /// Store calls.
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -307,6 +307,7 @@
             answer_by_ms: arrived_ms.saturating_add(passed.left_ms),
             key: passed.key,
             target: passed.target,
+            passed_on: true,
         };
         let reply = handle_locally(node, &call, &method, &passed.body).await;
         if !reply.is_store_failure() {
--- a/crates/control/src/reply.rs
+++ b/crates/control/src/reply.rs
@@ -52,6 +52,17 @@
         )
     }
 
+    /// Returns whether the call was refused because no node that was asked can reach the store.
+    pub fn is_outage(&self) -> bool {
+        matches!(
+            self,
+            Reply::Refused {
+                reason: Counter::RefusedOutage,
+                ..
+            }
+        )
+    }
+
     /// Returns this node's own refusal, after no peer could answer either.
     pub fn after_asking_peers(self) -> Reply {
         match self {
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -18,6 +18,7 @@
 use crate::node::Node;
 use crate::peers::pass_on;
 use crate::reply::Reply;
+use crate::settle::Settling;
 
 /// How long a caller waits that sends no timeout; all kinds of request have this budget today.
 pub(crate) const DEFAULT_WAIT_MS: u64 = 3_000;
@@ -107,6 +108,7 @@
             host: header("host").unwrap_or_default().to_string(),
             path: request.uri().path().to_string(),
         },
+        passed_on: false,
     };
     let method = request.method().clone();
     let abandoned = AbandonedCall::watch(node, &call, &method);
@@ -116,7 +118,7 @@
     };
     let reply = match body {
         Ok(body) => match node.permit_answer(&call).await {
-            Ok(_permit) => answer_or_pass_on(node, &call, &method, &body.bytes).await,
+            Ok(_permit) => answer_and_settle(node, &call, &method, &body.bytes).await,
             Err(reply) => reply,
         },
         Err(reply) => reply,
@@ -154,6 +156,17 @@
     collect_body(node, request, active.configuration.limits.body_bytes).await
 }
 
+/// Answers a call, after settling it if its outcome is in doubt.
+async fn answer_and_settle(node: &Arc<Node>, call: &Call, method: &Method, body: &[u8]) -> Reply {
+    let mut settling = Settling::begin(node, call);
+    loop {
+        let reply = answer_or_pass_on(node, call, method, body).await;
+        if let Some(reply) = settling.judge(reply).await {
+            return reply;
+        }
+    }
+}
+
 /// Answers a call on this node, or through a peer while this node cannot reach the store.
 async fn answer_or_pass_on(node: &Arc<Node>, call: &Call, method: &Method, body: &[u8]) -> Reply {
     let known_unreachable = !node.is_store_reachable();
--- /dev/null
+++ b/crates/control/src/settle.rs
@@ -0,0 +1,82 @@
+//! Settles calls in doubt: a call whose write got no answer is repeated until the store has answered or the caller's
+//! deadline is near. Repeating it is harmless, since it carries the same id and the same condition.
+
+use std::time::Duration;
+
+use serde_json::Value;
+
+use crate::call::Call;
+use crate::clock::now_ms;
+use crate::metrics::Counter;
+use crate::node::Node;
+use crate::outage::{Attempt, DoubtStep, choose_doubt_step};
+use crate::reply::Reply;
+
+/// The attempts at one call.
+#[derive(Debug)]
+pub(crate) struct Settling<'c> {
+    node: &'c Node,
+    call: &'c Call,
+    /// When the call was first in doubt, if it is.
+    in_doubt_since_ms: Option<u64>,
+    repeats: u32,
+}
+
+impl<'c> Settling<'c> {
+    /// Begins with a call that has not been attempted.
+    pub fn begin(node: &'c Node, call: &'c Call) -> Settling<'c> {
+        Settling {
+            node,
+            call,
+            in_doubt_since_ms: None,
+            repeats: 0,
+        }
+    }
+
+    /// Returns the answer to the call after an attempt; none, after a pause, if the call has to be repeated.
+    pub async fn judge(&mut self, reply: Reply) -> Option<Reply> {
+        let since_ms = match self.in_doubt_since_ms {
+            None if reply != Reply::OutcomeUnknown => return Some(reply),
+            since_ms => *self
+                .in_doubt_since_ms
+                .insert(since_ms.unwrap_or_else(now_ms)),
+        };
+        let answer_by_ms = self.call.answer_by_ms;
+        let stopping = self.node.is_stopping();
+        match choose_doubt_step(judge_attempt(&reply), now_ms(), answer_by_ms, stopping) {
+            DoubtStep::Answer => {
+                self.node.metrics.count(Counter::DoubtSettled);
+                self.log("doubt settled", since_ms);
+                Some(reply)
+            }
+            DoubtStep::AnswerUnknown => {
+                self.log("doubt not settled", since_ms);
+                Some(Reply::OutcomeUnknown)
+            }
+            DoubtStep::Repeat { pause_ms } => {
+                tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+                self.repeats += 1;
+                None
+            }
+        }
+    }
+
+    fn log(&self, what: &str, since_ms: u64) {
+        let in_doubt_ms = now_ms().saturating_sub(since_ms);
+        let fields = [
+            ("repeats", Value::from(self.repeats)),
+            ("in_doubt_ms", Value::from(in_doubt_ms)),
+        ];
+        let id = self.call.target.last_part();
+        self.node.log.request("intake", what, id, &fields);
+    }
+}
+
+/// Returns what a reply to a call in doubt shows.
+fn judge_attempt(reply: &Reply) -> Attempt {
+    match reply {
+        Reply::State(_) | Reply::Waiting(_) | Reply::Gone => Attempt::TookEffect,
+        reply if reply.is_store_failure() || reply.is_outage() => Attempt::NoAnswer,
+        _ => Attempt::NotPermitted,
+    }
+}
--- /dev/null
+++ b/crates/control/tests/outage.rs
@@ -0,0 +1,136 @@
+//! Callers' calls in an outage of the store: the decisions by themselves, then nodes at a store that is away.
+//!
+//! Guards against callers that are told that the outcome of their submission is unknown (504) although nothing was sent
+//! that could take effect, and against a refusal as "not run" after a write that does.
+
+mod support;
+
+use std::time::Duration;
+
+use control::outage::{Attempt, DoubtStep, FirstStep, choose_doubt_step, choose_first_step};
+use platform_standin::StoreFault;
+use rstest::rstest;
+use support::{KEY, Site};
+
+const LONG_RUN: Duration = Duration::from_secs(3_600);
+
+/// Longer than a watch of the configuration waits, so that each node has seen that the store is away.
+const SEEN_BY_ALL: Duration = Duration::from_millis(1_300);
+
+#[rstest]
+#[case::store_answers(true, false, FirstStep::Write)]
+#[case::store_is_away(false, false, FirstStep::ReadFirst)]
+#[case::away_for_a_peer(true, true, FirstStep::ReadFirst)]
+#[case::away_for_both(false, true, FirstStep::ReadFirst)]
+fn choose_first_step_reads_only_in_outage(
+    #[case] store_answers: bool,
+    #[case] passed_on: bool,
+    #[case] step: FirstStep,
+) {
+    assert_eq!(choose_first_step(store_answers, passed_on), step);
+}
+
+/// Starts a site of two nodes that know each other.
+async fn site_of_two() -> Site {
+    let mut site = Site::start(1, LONG_RUN).await;
+    site.add_node().await;
+    site.wait("both are listed", async |site| {
+        site.store.keys("peers/").len() == 2
+    })
+    .await;
+    site
+}
+
+/// The store does not say that it did nothing, so each write would be in doubt.
+#[tokio::test(flavor = "multi_thread")]
+async fn submission_is_refused_as_not_sent_while_store_is_away() {
+    let site = site_of_two().await;
+    site.store.set_fault(StoreFault::Unclear);
+    tokio::time::sleep(SEEN_BY_ALL).await;
+    for (at, id) in [(0, 1), (1, 2), (0, 3)] {
+        assert_eq!(site.submit(at, id, 1).await, 503);
+    }
+    site.store.set_fault(StoreFault::None);
+    assert!(
+        site.store.keys("q/j/").is_empty(),
+        "refused means not stored"
+    );
+    site.wait("jobs are accepted again", async |site| {
+        site.submit(0, 1, 1).await == 200
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn submission_is_not_read_first_while_store_answers() {
+    let site = Site::start(1, LONG_RUN).await;
+    for id in 1..=5 {
+        assert_eq!(site.submit(0, id, 1).await, 200);
+    }
+    assert_eq!(site.read_metric(0, "read_before_write_total").await, 0);
+    assert_eq!(site.read_metric(0, "jobs_accepted_total").await, 5);
+    let body = String::new();
+    let path = format!("/q/{:016x}", 1);
+    let answer = site.call(0, "GET", &path, KEY, body).await.unwrap();
+    assert_eq!(answer.status(), 200);
+}
+
+#[rstest]
+#[case::accepted(Attempt::TookEffect, 0, false, DoubtStep::Answer)]
+#[case::accepted_late(Attempt::TookEffect, 5_000, false, DoubtStep::Answer)]
+#[case::accepted_while_stopping(Attempt::TookEffect, 0, true, DoubtStep::Answer)]
+#[case::still_in_doubt(Attempt::NoAnswer, 0, false, DoubtStep::Repeat { pause_ms: 100 })]
+#[case::too_late_for_another(Attempt::NoAnswer, 2_700, false, DoubtStep::AnswerUnknown)]
+#[case::past_deadline(Attempt::NoAnswer, 5_000, false, DoubtStep::AnswerUnknown)]
+#[case::stopping(Attempt::NoAnswer, 0, true, DoubtStep::AnswerUnknown)]
+#[case::key_taken_away(Attempt::NotPermitted, 0, false, DoubtStep::AnswerUnknown)]
+fn choose_doubt_step_never_refuses(
+    #[case] attempt: Attempt,
+    #[case] now_ms: u64,
+    #[case] stopping: bool,
+    #[case] step: DoubtStep,
+) {
+    assert_eq!(choose_doubt_step(attempt, now_ms, 2_750, stopping), step);
+}
+
+/// The first write of a node is in doubt. The store is back within the caller's deadline.
+#[rstest]
+#[case::not_carried_out(StoreFault::Unclear)]
+#[case::carried_out(StoreFault::LosesAnswers)]
+#[case::carried_out_late(StoreFault::LateChanges(600))]
+#[tokio::test(flavor = "multi_thread")]
+async fn submission_in_doubt_is_accepted_once_store_is_back(#[case] fault: StoreFault) {
+    let site = Site::start(1, LONG_RUN).await;
+    site.store.set_fault(fault);
+    let (status, ()) = tokio::join!(site.submit(0, 1, 1), async {
+        tokio::time::sleep(SEEN_BY_ALL).await;
+        site.store.set_fault(StoreFault::None);
+    });
+    assert_eq!(status, 200);
+    assert_eq!(site.read_metric(0, "doubt_settled_total").await, 1);
+    site.wait("the task runs", async |site| site.audit.running() == 1)
+        .await;
+    assert_eq!(
+        (site.audit.violations(), site.audit.counts()),
+        (vec![], (0, 1))
+    );
+}
+
+/// The store stays away, and carries the write out after the caller's deadline.
+#[tokio::test(flavor = "multi_thread")]
+async fn submission_in_doubt_is_never_refused() {
+    let site = Site::start(1, LONG_RUN).await;
+    site.store.set_fault(StoreFault::LateChanges(3_500));
+    let (status, ()) = tokio::join!(site.submit(0, 1, 1), async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        site.store.set_fault(StoreFault::Busy);
+    });
+    assert_eq!(status, 504, "the write may still take effect");
+    site.store.set_fault(StoreFault::None);
+    site.wait("the job runs after all", async |site| {
+        site.audit.running() == 1
+    })
+    .await;
+    assert_eq!(site.submit(0, 1, 1).await, 200, "it remains one job");
+    assert_eq!(site.audit.violations(), Vec::<String>::new());
+}
