Log what a configuration holds and the system does not act on

Cause: allowed_regions of queues and organisations, organisations' priorities and cold_start_s and cold_per_s of services were not read, so nobody learned that they have no effect. Change: the adapter decodes them and lists those that are filled (not missing, null, 0 or empty); a node logs them in one line for each version that comes into force, 20 by name at most.

--- a/crates/control/src/configuration.rs
+++ b/crates/control/src/configuration.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use adapter::{CONFIGURATION_KEY, Event, WatchOutcome, decode_configuration};
+use adapter::{CONFIGURATION_KEY, Event, WatchOutcome, decode_configuration, list_unused_values};
 use serde_json::Value;
 
 use crate::clock::now_ms;
@@ -19,6 +19,9 @@
 /// Delay before retrying after a failed call.
 const RETRY_PAUSE_MS: u64 = 150;
 
+/// The most values without effect that one line of the log names.
+const MAX_NAMED_VALUES: usize = 20;
+
 /// Follows the configuration until the process ends.
 pub(crate) async fn follow_configuration(node: Arc<Node>) {
     loop {
@@ -98,5 +101,33 @@
             ("queues", Value::from(queues)),
         ];
         node.log.general("configuration", "in force", &fields);
+        log_unused_values(node, value, version);
+    }
+}
+
+/// Logs what a configuration holds and the system does not act on, in one line.
+fn log_unused_values(node: &Node, value: &[u8], version: u64) {
+    // The configuration has just been decoded, so this does not fail.
+    let unused = list_unused_values(value).unwrap_or_default();
+    if unused.is_empty() {
+        return;
     }
+    let first: Vec<Value> = unused
+        .iter()
+        .take(MAX_NAMED_VALUES)
+        .map(|unused| {
+            let (kind, name) = (unused.kind, &unused.name);
+            Value::from(format!(
+                "{kind} {name}: {} is {}",
+                unused.field, unused.value
+            ))
+        })
+        .collect();
+    let fields = [
+        ("version", Value::from(version)),
+        ("count", Value::from(unused.len())),
+        ("first", Value::from(first)),
+    ];
+    node.log
+        .general("configuration", "values without effect", &fields);
 }
