Move the charged stream of peers' connections to a module of its own

Change: ChargedStream and its charge are in charged_stream.rs; no behaviour changes. Measured: the tests of control that pass calls on and fill the budget (passing, capacity) hold.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -6,6 +6,7 @@
 mod body;
 mod byte_budget;
 mod call;
+mod charged_stream;
 mod clock;
 mod configuration;
 mod configuration_cache;
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -4,10 +4,8 @@
 //! regularly and keep the last list during an outage.
 
 use std::net::SocketAddrV4;
-use std::pin::Pin;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::task::{Context as TaskContext, Poll, ready};
 use std::time::{Duration, Instant};
 
 use adapter::{CallError, Item, Precondition, Put, Txn, TxnOutcome};
@@ -21,13 +19,11 @@
 use tarpc::server::{BaseChannel, Channel};
 use tarpc::tokio_serde::formats::Bincode;
 use tarpc::tokio_util::codec::LengthDelimitedCodec;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 
-use crate::byte_budget::Charge;
 use crate::call::{Call, Target};
+use crate::charged_stream::ChargedStream;
 use crate::clock::now_ms;
-use crate::door::{Connection, Door, Phase, Place};
+use crate::door::{Door, Phase, Place};
 use crate::keys;
 use crate::lead::release_lead;
 use crate::lead_preference::is_larger;
@@ -334,13 +330,8 @@
     loop {
         let (stream, _, place) = door.accept().await;
         let frame_bytes = longest_frame_bytes(&node);
-        let stream = ChargedStream {
-            stream,
-            connection: place.connection.clone(),
-            charge: node.byte_budget.start(),
-            read_bytes: 0,
-            frame_bytes,
-        };
+        let charge = node.byte_budget.start();
+        let stream = ChargedStream::new(stream, place.connection.clone(), charge, frame_bytes);
         let framed = LengthDelimitedCodec::builder()
             .max_frame_length(frame_bytes)
             .new_framed(stream);
@@ -381,61 +372,6 @@
     body_bytes + 4 * node.settings.limits.head_bytes as usize
 }
 
-/// A stream whose bytes are charged to the budget of the process, up to one frame, until it is dropped.
-#[derive(Debug)]
-struct ChargedStream {
-    stream: TcpStream,
-    connection: Arc<Connection>,
-    charge: Charge,
-    read_bytes: usize,
-    frame_bytes: usize,
-}
-
-impl AsyncRead for ChargedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut TaskContext<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        if self.charge.poll_withdrawn(cx).is_ready() {
-            return Poll::Ready(Err(std::io::ErrorKind::OutOfMemory.into()));
-        }
-        let before = buffer.filled().len();
-        let result = ready!(Pin::new(&mut self.stream).poll_read(cx, buffer));
-        let more_bytes = buffer.filled().len() - before;
-        if more_bytes > 0 {
-            self.connection.record_bytes();
-            self.read_bytes = self.frame_bytes.min(self.read_bytes + more_bytes);
-            let read_bytes = self.read_bytes;
-            if !self.charge.raise(read_bytes) {
-                return Poll::Ready(Err(std::io::ErrorKind::OutOfMemory.into()));
-            }
-        }
-        Poll::Ready(result)
-    }
-}
-
-impl AsyncWrite for ChargedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut TaskContext<'_>,
-        bytes: &[u8],
-    ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut TaskContext<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(
-        mut self: Pin<&mut Self>,
-        cx: &mut TaskContext<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-}
-
 /// Keeps this node's entry in the list of peers, and its copy of the list, up to date.
 pub(crate) async fn follow_peers(node: Arc<Node>, address: SocketAddrV4) {
     let mut lease = None;
