Spread the callers that are refused in an outage over the seconds that the store needs

Cause: each caller that was refused in an outage was told to come back after 1 s, however many there were, so more than the store accepts may come back in one second, and urgent work among them has no advantage. Change: returns.rs gives each refused submission one of the node's places in the seconds up to its deadline (the header Hemlockloft-Deadline-Ms, which counts what is left of the caller's time, not anew for each attempt). A second has as many places as the node's part of half of the store's writes (store.writes_per_s, from the platform's settings; unknown: no spreading). Large work of lower priority fills half of them, small work three quarters, urgent work all.

--- a/crates/control/src/jobs_api.rs
+++ b/crates/control/src/jobs_api.rs
@@ -22,6 +22,7 @@
 use crate::node::Node;
 use crate::reply::Reply;
 use crate::requests::{ActiveRequest, DEFAULT_WAIT_MS, log_reply};
+use crate::returns::MIN_RETRY_AFTER_S;
 use crate::settle::Settling;
 
 /// Thousandths of a core reserved with each accelerator; the API asks for accelerators only.
@@ -105,7 +106,7 @@
             Answer::Status(status) => json_response(StatusCode::OK, &status),
             Answer::Other(reply) => {
                 log_reply(node, &call, &method, &reply);
-                reply.into_response()
+                reply.into_response(MIN_RETRY_AFTER_S)
             }
         })
     }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -33,6 +33,7 @@
 mod reply;
 mod request_watch;
 mod requests;
+pub mod returns;
 mod serve;
 mod settings;
 mod settle;
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -30,6 +30,9 @@
     RefusedStore,
     /// Refused: none of the nodes asked can reach the store.
     RefusedOutage,
+    /// Callers refused in an outage that were told to come back later than the others, because more came than the store
+    /// can accept at once.
+    ReturnsSpread,
     /// Refused: the body is too large.
     RefusedTooLarge,
     /// Refused: the body is malformed.
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -23,6 +23,7 @@
 use crate::metrics::{Counter, Metrics};
 use crate::peers::PeerList;
 use crate::reply::Reply;
+use crate::returns::Returns;
 use crate::settings::Settings;
 
 /// Timeout of opening a connection; the round trip between two regions takes 24 ms.
@@ -80,6 +81,8 @@
     /// The store lease of the lead, while this node holds it.
     pub lead_lease: Mutex<Option<u64>>,
     pub waiting_counts: Mutex<WaitingCounts>,
+    /// When callers that this node refuses in an outage come back.
+    pub returns: Mutex<Returns>,
     final_states: Mutex<HashMap<JobId, JobState>>,
 }
 
@@ -110,6 +113,7 @@
             active_requests: AtomicUsize::new(0),
             lead_lease: Mutex::new(None),
             waiting_counts: Mutex::new(WaitingCounts::default()),
+            returns: Mutex::new(Returns::default()),
             final_states: Mutex::new(HashMap::new()),
             answering: Semaphore::new(settings.limits.max_answering()),
             byte_budget: ByteBudget::new(settings.limits.collected_bytes()),
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -148,6 +148,11 @@
         known.iter().map(|peer| peer.processor_millis).max()
     }
 
+    /// Returns how many peers are known.
+    pub fn count(&self) -> u64 {
+        self.entries.lock().map_or(0, |known| known.len() as u64)
+    }
+
     /// Returns whether there is no peer to pass a call on to.
     pub fn is_empty(&self) -> bool {
         self.entries.lock().is_ok_and(|known| known.is_empty())
--- a/crates/control/src/reply.rs
+++ b/crates/control/src/reply.rs
@@ -8,9 +8,6 @@
 
 use crate::metrics::Counter;
 
-/// The `retry-after` of a refusal: the configuration and the store are checked that often.
-const RETRY_AFTER_S: u64 = 1;
-
 /// The outcome of a call.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) enum Reply {
@@ -52,6 +49,11 @@
         )
     }
 
+    /// Returns whether the call was refused because the store cannot be reached.
+    pub fn is_refused_in_outage(&self) -> bool {
+        *self != Reply::OutcomeUnknown && (self.is_store_failure() || self.is_outage())
+    }
+
     /// Returns whether the call was refused because no node that was asked can reach the store.
     pub fn is_outage(&self) -> bool {
         matches!(
@@ -74,8 +76,8 @@
         }
     }
 
-    /// Converts the outcome into an HTTP answer.
-    pub fn into_response(self) -> Response {
+    /// Converts the outcome into an HTTP answer; a caller that may come back is told to do so after `retry_after_s`.
+    pub fn into_response(self, retry_after_s: u64) -> Response {
         let json = Response::builder().content_type("application/json");
         match self {
             Reply::State(state) => json.status(StatusCode::OK).body(encode_state(state)),
@@ -88,7 +90,7 @@
                 let status = refusal_status(reason);
                 let json = match status {
                     StatusCode::SERVICE_UNAVAILABLE => {
-                        json.header("retry-after", RETRY_AFTER_S.to_string())
+                        json.header("retry-after", retry_after_s.to_string())
                     }
                     _ => json,
                 };
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use adapter::read_headers;
+use adapter::{decode_job, read_headers};
 use poem::http::{Method, StatusCode};
 use poem::{Endpoint, Request, Response};
-use scheduler::JobId;
+use scheduler::{JobId, JobRequest, StepSpec};
 use serde_json::Value;
 
 use crate::body::{CollectedBody, collect_body, has_body};
@@ -18,6 +18,7 @@
 use crate::node::Node;
 use crate::peers::pass_on;
 use crate::reply::Reply;
+use crate::returns::{MIN_RETRY_AFTER_S, Refused, acceptances_per_s};
 use crate::settle::Settling;
 
 /// How long a caller waits that sends no timeout; all kinds of request have this budget today.
@@ -116,16 +117,23 @@
         Some(reply) => Err(reply),
         None => read_body(node, &mut request).await,
     };
-    let reply = match body {
+    let (reply, retry_after_s) = match body {
         Ok(body) => match node.permit_answer(&call).await {
-            Ok(_permit) => answer_and_settle(node, &call, &method, &body.bytes).await,
-            Err(reply) => reply,
+            Ok(_permit) => {
+                let reply = answer_and_settle(node, &call, &method, &body.bytes).await;
+                let retry_after_s = match method == Method::POST && reply.is_refused_in_outage() {
+                    true => spread_return(node, &call, caller_timeout_ms, &body.bytes),
+                    false => MIN_RETRY_AFTER_S,
+                };
+                (reply, retry_after_s)
+            }
+            Err(reply) => (reply, MIN_RETRY_AFTER_S),
         },
-        Err(reply) => reply,
+        Err(reply) => (reply, MIN_RETRY_AFTER_S),
     };
     abandoned.finish();
     log_reply(node, &call, &method, &reply);
-    let mut response = reply.into_response();
+    let mut response = reply.into_response(retry_after_s);
     if node.is_stopping() {
         response
             .headers_mut()
@@ -167,6 +175,48 @@
     }
 }
 
+/// Returns after how many seconds the caller of a submission that was refused in an outage comes back.
+fn spread_return(node: &Node, call: &Call, caller_timeout_ms: u64, body: &[u8]) -> u64 {
+    let nodes = node.peers.count() + 1;
+    let per_s = acceptances_per_s(node.settings.writes_per_s, nodes);
+    let (Some(per_s), false) = (per_s, node.is_store_reachable()) else {
+        return MIN_RETRY_AFTER_S;
+    };
+    let active = node.configuration.latest();
+    let priority = active.and_then(|active| {
+        let admitted = admit(&active.configuration, call).ok()?;
+        Some(admitted.queue?.priority)
+    });
+    let refused = Refused {
+        urgent: priority == Some(0),
+        work_ms: decode_job(body).map_or(0, |job| sum_estimates_ms(&job)),
+        deadline_ms: caller_timeout_ms,
+    };
+    let Ok(mut returns) = node.returns.lock() else {
+        return MIN_RETRY_AFTER_S;
+    };
+    let after_s = returns.choose_retry_after_s(refused, per_s, now_ms());
+    drop(returns);
+    if after_s > MIN_RETRY_AFTER_S {
+        node.metrics.count(Counter::ReturnsSpread);
+        let fields = [
+            ("retry_after_s", Value::from(after_s)),
+            ("urgent", Value::from(refused.urgent)),
+            ("work_ms", Value::from(refused.work_ms)),
+            ("returns_per_s", Value::from(per_s)),
+        ];
+        let id = call.target.last_part();
+        node.log
+            .request("intake", "told to come back later", id, &fields);
+    }
+    after_s
+}
+
+fn sum_estimates_ms(job: &JobRequest) -> u64 {
+    let work_ms = |step: &StepSpec| step.estimate_ms.saturating_mul(u64::from(step.count));
+    job.steps.iter().map(work_ms).fold(0, u64::saturating_add)
+}
+
 /// Answers a call on this node, or through a peer while this node cannot reach the store.
 async fn answer_or_pass_on(node: &Arc<Node>, call: &Call, method: &Method, body: &[u8]) -> Reply {
     let known_unreachable = !node.is_store_reachable();
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -72,6 +72,7 @@
 struct RawStore {
     address: String,
     shortest_lease_ms: u64,
+    writes_per_s: u64,
 }
 
 /// Limits set by the deployment; the defaults are those of the present deployments.
@@ -242,6 +243,8 @@
     pub store: SocketAddrV4,
     /// The shortest lease that the store grants.
     pub shortest_lease_ms: u64,
+    /// How many writes per second the store takes from all nodes; 0 if unknown.
+    pub writes_per_s: u64,
     /// Address of the service for machines, if there is one.
     pub machines: Option<SocketAddrV4>,
     /// Address of the service that grants tickets, if there is one.
@@ -310,6 +313,7 @@
             region: raw.node.region,
             processor_millis: (raw.node.processor_cores * 1000.0).round() as u32,
             shortest_lease_ms: raw.store.shortest_lease_ms,
+            writes_per_s: raw.store.writes_per_s,
             bounds: raw.bounds,
             limits: raw.limits,
         };
--- a/crates/control/tests/outage.rs
+++ b/crates/control/tests/outage.rs
@@ -134,3 +134,49 @@
     assert_eq!(site.submit(0, 1, 1).await, 200, "it remains one job");
     assert_eq!(site.audit.violations(), Vec::<String>::new());
 }
+
+/// Submits a job and returns the status and the `retry-after` of the answer; none without one.
+async fn submit_refused(site: &Site, id: u64) -> (u16, Option<String>) {
+    let step = serde_json::json!({"count": 1, "cpu": 1_000, "mem_mb": 100, "gpu": 1});
+    let call = site
+        .client
+        .post(format!("http://{}/q/{id:016x}", site.nodes[0].address))
+        .header("host", "desk.example")
+        .header("hemlockloft-credential", KEY)
+        .header("hemlockloft-deadline-ms", "3000")
+        .body(serde_json::json!({"spec": "text", "steps": [step]}).to_string());
+    let answer = call.send().await.unwrap();
+    let retry_after = answer.headers().get("retry-after");
+    let retry_after = retry_after.map(|value| value.to_str().unwrap().to_string());
+    (answer.status().as_u16(), retry_after)
+}
+
+/// More callers are refused than the store can accept in a second after its return. All of them are refused within one
+/// second or two, so the earliest places may be those of the next second.
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_callers_return_one_after_the_other() {
+    let mut site = Site::start_without_nodes(0, LONG_RUN).await;
+    site.writes_per_s = 4;
+    site.add_node().await;
+    site.store.set_fault(StoreFault::Busy);
+    let mut seconds = Vec::new();
+    for id in 0..6 {
+        let (status, retry_after) = submit_refused(&site, id).await;
+        assert_eq!(status, 503);
+        seconds.push(retry_after.unwrap());
+    }
+    assert!(seconds.contains(&"1".to_string()) && seconds.contains(&"2".to_string()));
+    assert!(
+        seconds
+            .iter()
+            .all(|s| ["1", "2", "3"].contains(&s.as_str()))
+    );
+    let spread = site.read_metric(0, "returns_spread_total").await;
+    assert!(spread >= 2, "{seconds:?}");
+    site.store.set_fault(StoreFault::None);
+    site.wait("jobs are accepted again", async |site| {
+        submit_refused(site, 7).await == (200, None)
+    })
+    .await;
+    assert_eq!(site.read_metric(0, "returns_spread_total").await, spread);
+}
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -65,6 +65,8 @@
     pub client: Client,
     /// The service of machines, if the site has one.
     pub machines: Option<MachinesStandIn>,
+    /// How many writes per second the store takes, by the settings of nodes that start from now on; 0 if unknown.
+    pub writes_per_s: u64,
 }
 
 impl Site {
@@ -101,6 +103,7 @@
             nodes: Vec::new(),
             client: Client::new(),
             machines: None,
+            writes_per_s: 0,
         };
         for _ in 0..workers {
             site.add_worker(run_for).await;
@@ -158,7 +161,7 @@
         let text = json!({
             "node": {"name": name, "data_centre": "gyor", "region": "dunantul", "processor_cores": processor_cores},
             "listen": {"callers": callers, "readiness": readiness, "metrics": metrics, "peers": peers, "own": own},
-            "store": {"address": store, "shortest_lease_ms": 100},
+            "store": {"address": store, "shortest_lease_ms": 100, "writes_per_s": self.writes_per_s},
             "orders": "rpc",
             "machines": self.machines.as_ref().map(MachinesStandIn::address),
         });
