Log what decided the end of a doubt

Change: the time left, what the last attempt said, and whether the node stops. Measured: nothing; no decision changes.

--- a/crates/control/src/settle.rs
+++ b/crates/control/src/settle.rs
@@ -46,11 +46,11 @@
         match choose_doubt_step(judge_attempt(&reply), now_ms(), answer_by_ms, stopping) {
             DoubtStep::Answer => {
                 self.node.metrics.count(Counter::DoubtSettled);
-                self.log("doubt settled", since_ms);
+                self.log("doubt settled", &reply, since_ms);
                 Some(reply)
             }
             DoubtStep::AnswerUnknown => {
-                self.log("doubt not settled", since_ms);
+                self.log("doubt not settled", &reply, since_ms);
                 Some(Reply::OutcomeUnknown)
             }
             DoubtStep::Repeat { pause_ms } => {
@@ -61,11 +61,21 @@
         }
     }
 
-    fn log(&self, what: &str, since_ms: u64) {
-        let in_doubt_ms = now_ms().saturating_sub(since_ms);
+    /// Logs what came of the doubt, with what decided it.
+    fn log(&self, what: &str, last: &Reply, since_ms: u64) {
+        let now_ms = now_ms();
+        let left_ms = self.call.answer_by_ms.saturating_sub(now_ms);
+        let last: &str = match last {
+            Reply::Refused { reason, .. } => reason.into(),
+            Reply::OutcomeUnknown => Counter::OutcomeUnknown.into(),
+            Reply::State(_) | Reply::Waiting(_) | Reply::Gone => "answered",
+        };
         let fields = [
             ("repeats", Value::from(self.repeats)),
-            ("in_doubt_ms", Value::from(in_doubt_ms)),
+            ("in_doubt_ms", Value::from(now_ms.saturating_sub(since_ms))),
+            ("left_ms", Value::from(left_ms)),
+            ("last", Value::from(last)),
+            ("stopping", Value::from(self.node.is_stopping())),
         ];
         let id = self.call.target.last_part();
         self.node.log.request("intake", what, id, &fields);
