--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -18,6 +18,8 @@
     JobsAccepted,
     /// Submissions repeated under an id that is already stored.
     JobsKnown,
+    /// Submissions whose job was read before the write, because the store was away for this node or for a peer.
+    ReadBeforeWrite,
     /// Refused: no queue has that host and path.
     RefusedNoQueue,
     /// Refused: unknown key.
@@ -28,6 +30,9 @@
     RefusedStore,
     /// Refused: none of the nodes asked can reach the store.
     RefusedOutage,
+    /// Callers refused in an outage that were told to come back later than the others, because more came than the store
+    /// can accept at once.
+    ReturnsSpread,
     /// Refused: the body is too large.
     RefusedTooLarge,
     /// Refused: the body is malformed.
@@ -40,6 +45,8 @@
     PassedOnInVain,
     /// Calls answered for another node.
     AnsweredForPeer,
+    /// Calls in doubt that were settled within their caller's deadline.
+    DoubtSettled,
     /// Answered 504: it is not known whether the store carried out the call.
     OutcomeUnknown,
     /// Store calls.
