--- a/crates/scheduler/tests/crash_soak.rs
+++ b/crates/scheduler/tests/crash_soak.rs
@@ -25,7 +25,9 @@
         2 => lasting(rng.random_range(1..4)),
         _ => step(rng.random_range(1..12), 1),
     };
-    site.add(job(id, rng.random_range(0..3), vec![step]));
+    let mut stored = job(id, rng.random_range(0..3), vec![step]);
+    stored.organisation = format!("organisation-{}", id % 3);
+    site.add(stored);
     if is_deadly {
         site.deadly
             .insert(format!("{id:016x}.0.0.0").parse().unwrap());
--- a/crates/scheduler/tests/support/crash_site.rs
+++ b/crates/scheduler/tests/support/crash_site.rs
@@ -4,8 +4,8 @@
 
 use scheduler::prelude::*;
 use scheduler::{
-    ActiveRun, EndedRun, JobId, JobRecord, JobState, RunOutcome, StartOutcome, StepSpec, StoredJob,
-    TaskName,
+    ActiveRun, EndedRun, JobId, JobRecord, JobState, PolicyRecord, RunOutcome, SharesRecord,
+    StartOutcome, StepSpec, StoredJob, TaskName,
 };
 
 use super::{Harness, entry, limits, step, worker_of};
@@ -65,6 +65,8 @@
     pub next_number: u32,
     pub stored: Vec<StoredJob>,
     pub records: HashMap<JobId, JobRecord>,
+    /// What the order of turns rests on.
+    pub shares: SharesRecord,
     pub starts: HashMap<TaskName, usize>,
     /// Workers that crashed under each deadly task.
     pub crashes: HashMap<TaskName, usize>,
@@ -107,6 +109,7 @@
             harness,
             stored: Vec::new(),
             records: HashMap::new(),
+            shares: SharesRecord::default(),
             starts: HashMap::new(),
             crashes: HashMap::new(),
             late_starts: HashMap::new(),
@@ -156,6 +159,9 @@
         for write in &flush.writes {
             self.records.insert(write.job, write.record.clone());
         }
+        if let Some(PolicyRecord::Shares(shares)) = &flush.policy {
+            self.shares = shares.clone();
+        }
         self.harness.planner.complete_flush(flush, now_ms);
         for order in self.harness.take_orders() {
             self.carry_out(&order);
@@ -359,6 +365,9 @@
     pub fn take_over(&mut self) {
         let now_ms = self.harness.now_ms;
         self.harness.planner = Planner::new(limits(), now_ms);
+        self.harness
+            .planner
+            .restore_shares(self.shares.clone(), now_ms);
         self.harness.workers.clear();
         for worker in &mut self.workers {
             worker.key = WorkerKey::default();
