Count the work of inherited runs from their assignment

Change: the record of a group holds when it was last assigned (one number a group, in a record that is written anyway); unsaved work and the decision about groups at risk use it. The new test in takeover.rs fails on the code before.

--- a/crates/scheduler/src/discarded_work.rs
+++ b/crates/scheduler/src/discarded_work.rs
@@ -1,6 +1,6 @@
 //! Measures the work that is discarded when a run ends early, and counts it by cause.
 
-use crate::group::{Phase, TaskKey};
+use crate::group::{Phase, Task, TaskKey};
 use crate::planner::Planner;
 use crate::worker::RunOutcome;
 
@@ -17,7 +17,7 @@
             return 0;
         };
         let step = self.jobs[key.group.job].step_of(key.group.group as usize);
-        let ran_ms = now_ms.saturating_sub(task.started_ms);
+        let ran_ms = now_ms.saturating_sub(self.run_began_ms(task));
         let lost_ms = match step.saves_progress {
             true => ran_ms.min(DISCARDED_WITH_PROGRESS_MS),
             false => ran_ms,
@@ -30,6 +30,17 @@
             / 1000
     }
 
+    /// Returns when the current run of a task that has been confirmed began: for one of an earlier planner when that
+    /// assigned it, by its record.
+    pub(crate) fn run_began_ms(&self, task: &Task) -> u64 {
+        match task.inherited_unix_ms {
+            0 => task.started_ms,
+            unix_ms => task
+                .started_ms
+                .min(unix_ms.saturating_sub(self.unix_ahead_ms)),
+        }
+    }
+
     /// Counts the work that a run discards by ending early. Returns it, in core-milliseconds.
     pub(crate) fn count_discarded_work(
         &mut self,
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -99,6 +99,9 @@
     pub placed_ms: u64,
     /// When the current run was confirmed, or the last one if none is running; 0 before the first.
     pub started_ms: u64,
+    /// When the current run was assigned by an earlier planner at the latest, in Unix milliseconds; 0 if this one did, or
+    /// if that is not known.
+    pub inherited_unix_ms: u64,
     /// When the completed share last grew.
     pub progressed_ms: u64,
     /// The task is not started before this time.
@@ -129,6 +132,7 @@
             since_ms: now_ms,
             placed_ms: 0,
             started_ms: 0,
+            inherited_unix_ms: 0,
             progressed_ms: 0,
             not_before_ms: 0,
             avoid: None,
@@ -169,6 +173,8 @@
     /// When the teardown of the gang began; its members have to end before it can run again. None if it is not being
     /// torn down.
     pub teardown_since_ms: Option<u64>,
+    /// When a task of it was last assigned, in Unix milliseconds; 0 before that.
+    pub placed_unix_ms: u64,
     /// The last progress of the gang known to be saved; empty for none.
     pub progress: String,
     pub reservation: Option<Reservation>,
@@ -188,6 +194,7 @@
             tasks: (0..spec.count).map(|_| Task::new(now_ms)).collect(),
             gang_failed: 0,
             teardown_since_ms: None,
+            placed_unix_ms: 0,
             progress: String::new(),
             reservation: None,
             tickets: Tickets::default(),
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -255,6 +255,7 @@
         step: group.step,
         gang_failed: group.gang_failed,
         first: 0,
+        placed_unix_ms: group.placed_unix_ms,
         units: tasks,
     }
 }
--- a/crates/scheduler/src/leaving.rs
+++ b/crates/scheduler/src/leaving.rs
@@ -290,7 +290,7 @@
             .iter()
             .filter_map(|key| self.task(*key))
             .filter(|task| task.started_ms > 0 && task.started_ms >= task.placed_ms)
-            .map(|task| now_ms.saturating_sub(task.started_ms));
+            .map(|task| now_ms.saturating_sub(self.run_began_ms(task)));
         let by_rate_ms = members
             .iter()
             .filter_map(|key| Remaining::worked_ms(self.progress(*key, now_ms)));
--- a/crates/scheduler/src/planner.rs
+++ b/crates/scheduler/src/planner.rs
@@ -89,6 +89,8 @@
     pub(crate) taken_in: Vec<HandOverName>,
     /// The state of the decisions under load.
     pub(crate) policy: Policy,
+    /// How far the time of day is ahead of the planner's clock, as of the last planning pass.
+    pub(crate) unix_ahead_ms: u64,
 }
 
 impl Planner {
@@ -125,6 +127,7 @@
             unstored_done: Vec::new(),
             taken_in: Vec::new(),
             policy: Policy::default(),
+            unix_ahead_ms: 0,
         }
     }
 
@@ -420,6 +423,7 @@
         task.phase = phase;
         task.run = run;
         (task.percent, task.observed_from) = (0, None);
+        task.inherited_unix_ms = 0;
         task.last_metric = 0;
         (task.is_listed, task.start_in_doubt) = (false, false);
         (task.pace_percent, task.pace_set_ms) = (100, now_ms);
--- a/crates/scheduler/src/record.rs
+++ b/crates/scheduler/src/record.rs
@@ -68,6 +68,10 @@
     /// Index of the first task; above 0 only in a part of a record.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub first: u32,
+    /// When a task of the group was last assigned, in Unix milliseconds by the clock of the planner that did; 0 if that
+    /// is not known.
+    #[serde(default, skip_serializing_if = "is_zero_time")]
+    pub placed_unix_ms: u64,
     /// The tasks, in order.
     pub units: Vec<TaskRecord>,
 }
@@ -76,6 +80,10 @@
     *number == 0
 }
 
+fn is_zero_time(unix_ms: &u64) -> bool {
+    *unix_ms == 0
+}
+
 /// A part of the record of a job with many tasks.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RecordPart {
--- a/crates/scheduler/src/restore.rs
+++ b/crates/scheduler/src/restore.rs
@@ -86,6 +86,7 @@
         };
         let gang = self.is_gang(group);
         self.jobs[job].groups[group_index].gang_failed = record.gang_failed;
+        self.jobs[job].groups[group_index].placed_unix_ms = record.placed_unix_ms;
         for (index, task) in record
             .units
             .iter()
@@ -116,7 +117,10 @@
             }
             match (worker, task.done) {
                 (Some(worker), false) => {
-                    self.assign(key, worker, task.run, Phase::Inherited(worker), now_ms)
+                    self.assign(key, worker, task.run, Phase::Inherited(worker), now_ms);
+                    if let Some(restored) = self.task_mut(key) {
+                        restored.inherited_unix_ms = record.placed_unix_ms;
+                    }
                 }
                 (Some(worker), true) => {
                     self.assign(
--- a/crates/scheduler/src/schedule.rs
+++ b/crates/scheduler/src/schedule.rs
@@ -32,6 +32,7 @@
     /// Decides which tasks start and stop now. `unix_ms` is the time of day, for jobs with a schedule.
     pub fn plan(&mut self, now_ms: u64, unix_ms: u64) {
         self.changed = false;
+        self.unix_ahead_ms = unix_ms.saturating_sub(now_ms);
         self.expire_leases(now_ms);
         self.stop_remaining_members(now_ms);
         self.settle_reservations(now_ms);
@@ -414,6 +415,7 @@
         let job = &mut self.jobs[group.job];
         let highest_run = job.groups[group.group as usize].highest_run();
         let shared_run = highest_run.saturating_add(1);
+        job.groups[group.group as usize].placed_unix_ms = now_ms + self.unix_ahead_ms;
         if job.state == JobState::Pending {
             job.state = JobState::Running;
         }
--- a/crates/scheduler/tests/takeover.rs
+++ b/crates/scheduler/tests/takeover.rs
@@ -398,3 +398,38 @@
     assert!(starts(&later).is_empty(), "the work is done: {later:?}");
     assert_eq!(flush.writes[0].record.state, JobState::Completed);
 }
+
+/// Guards against the loss of long runs right after a change of planners: a successor that counts the age of a run from
+/// its own first report takes the oldest runs for the cheapest to stop.
+#[test]
+fn successor_stops_its_own_run_rather_than_an_older_one_of_its_predecessor() {
+    let mut harness = Harness::with_workers(1);
+    let old = job(1, 1, vec![step(1, 8)]);
+    harness.planner.add_job(old.clone(), 1, harness.now_ms);
+    let (_, flush) = harness.plan_without_store();
+    let record = flush.writes[0].record.clone();
+
+    let mut harness = Harness {
+        planner: Planner::new(limits(), 20_000),
+        now_ms: 20_000,
+        workers: Vec::new(),
+    };
+    harness.list(vec![entry(0), entry(1)]);
+    harness
+        .planner
+        .restore_job(old, Some(record), 1, harness.now_ms);
+    harness.report(1, vec![], vec![]);
+    harness
+        .planner
+        .add_job(job(2, 1, vec![step(1, 8)]), 2, harness.now_ms);
+    let own = harness.start_all();
+    assert_eq!(starts(&own), vec![(format!("{:016x}.0.0.0", 2), 1)]);
+    harness.now_ms += 1_000;
+    harness.report(0, vec![first_task()], vec![]);
+    harness.report(1, vec![support::running(&own[0])], vec![]);
+    let mut urgent = job(3, 0, vec![step(1, 8)]);
+    urgent.request.steps[0].estimate_ms = 10_000;
+    harness.planner.add_job(urgent, 3, harness.now_ms);
+    let orders = harness.plan();
+    assert_eq!(stops(&orders), vec![(format!("{:016x}.0.0.0", 2), 1)]);
+}
