Stop a group that cannot end before the first of its workers exits

Change: one that cannot end within 1 s after the announced time is stopped so that its stop ends before: it loses the same, and all its members are known to have ended. A notice of 2 s is no reason to wait where the end is out of reach.

--- a/crates/scheduler/src/leaving.rs
+++ b/crates/scheduler/src/leaving.rs
@@ -350,7 +350,9 @@
         };
         let stopped = self.stop_with_gang(task, now_ms);
         let counter = match stop {
-            Stop::LastMoment | Stop::SavesProgress => &mut self.counts.stopped_before_leave,
+            Stop::LastMoment | Stop::SavesProgress | Stop::BeforeExit => {
+                &mut self.counts.stopped_before_leave
+            }
             Stop::Moves => &mut self.counts.moved_before_leave,
             Stop::CannotEnd => &mut self.counts.stopped_without_hope,
         };
@@ -419,6 +421,9 @@
     match stop {
         Stop::LastMoment => "its worker may exit and nobody would hear of its end",
         Stop::SavesProgress => "saves its progress before its worker may exit",
+        Stop::BeforeExit => {
+            "cannot end in time, and starts again sooner if it ends before its worker exits"
+        }
         Stop::Moves => "not likely to end in time, and there is room elsewhere",
         Stop::CannotEnd => "cannot end in time, and other work waits",
     }
--- a/crates/scheduler/src/policy/departures.rs
+++ b/crates/scheduler/src/policy/departures.rs
@@ -24,6 +24,9 @@
 /// pages, so that less cannot be told from none.
 const LEAST_GAIN_MS: u64 = 2_000;
 
+/// How long after the announced time a worker may still be there: its entry is up to 0.8 s old when it is read.
+const EXIT_SPREAD_MS: u64 = 1_000;
+
 /// How often work at risk is weighed again: the shares of done work that it rests on arrive about this often.
 const WEIGH_EVERY_MS: u64 = 200;
 
@@ -182,6 +185,9 @@
     LastMoment,
     /// The first of its workers may be gone once a stop has ended, which saves its progress.
     SavesProgress,
+    /// The same, and it cannot end in time: a member that is stopped is known to have ended, while one that goes with
+    /// its worker keeps the gang from starting again until the lease has ended.
+    BeforeExit,
     /// It is not likely to end in time, and there is room for it elsewhere.
     Moves,
     /// It cannot end in time, and other work waits for its capacity.
@@ -232,7 +238,7 @@
                 false => Verdict::Keep(Keep::StopsLater),
             };
         }
-        if self.left_ms < LEAST_GAIN_MS {
+        if chance > 0 && self.left_ms < LEAST_GAIN_MS {
             return Verdict::Keep(Keep::LittleGain);
         }
         // Reports narrow the range soon; as long as the end is as likely, what was done is not given up for it.
@@ -250,16 +256,20 @@
     }
 
     /// Decides when a stop ends as the first of the workers may be gone. Work that saves no progress loses the same if it
-    /// goes on, and the worker may stay longer than announced.
+    /// goes on, and may end if the worker stays a little longer.
     fn weigh_last_moment(&self) -> Verdict {
         if self.is_unheard {
             return Verdict::Stop(Stop::LastMoment);
         }
         let ends_sooner = self.remaining.expected_ms <= self.left_ms;
+        let latest_ms = self.left_ms.saturating_add(EXIT_SPREAD_MS);
         match (self.saves_progress, ends_sooner) {
             (true, false) => Verdict::Stop(Stop::SavesProgress),
             (_, true) => Verdict::Keep(Keep::EndsInTime),
-            (false, false) => Verdict::Keep(Keep::LittleGain),
+            (false, false) if self.remaining.chance_percent(latest_ms) == 0 => {
+                Verdict::Stop(Stop::BeforeExit)
+            }
+            (false, false) => Verdict::Keep(Keep::MayEnd),
         }
     }
 
