--- a/crates/scheduler/src/planner.rs
+++ b/crates/scheduler/src/planner.rs
@@ -91,6 +91,8 @@
     pub(crate) taken_in: Vec<HandOverName>,
     /// The state of the decisions under load.
     pub(crate) policy: Policy,
+    /// How far the time of day is ahead of the planner's clock, as of the last planning pass.
+    pub(crate) unix_ahead_ms: u64,
 }
 
 impl Planner {
@@ -127,6 +129,7 @@
             unstored_done: Vec::new(),
             taken_in: Vec::new(),
             policy: Policy::default(),
+            unix_ahead_ms: 0,
         }
     }
 
@@ -423,6 +426,7 @@
         task.phase = phase;
         task.run = run;
         (task.percent, task.observed_from) = (0, None);
+        task.inherited_unix_ms = 0;
         task.last_metric = 0;
         (task.is_listed, task.start_in_doubt) = (false, false);
         task.growth = Growth::default();
