Learn how long work takes and how fast machines are, and place work by it

Cause: the planner knew run times by the caller's estimate only (off by a factor of 2.5 in the middle) and took all machines for equal; on one deployment a quarter of them is 2.2 times as fast as the others, so that members of a gang wait for each other.

--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -80,6 +80,14 @@
     TasksBroken,
     /// Tasks that ended because the other members of their gang never started.
     TasksAlone,
+    /// Machines known to be faster than usual.
+    MachinesFast,
+    /// Machines known to be slower than usual.
+    MachinesSlow,
+    /// Gangs placed on machines of like speed while speeds decide.
+    GangsAlike,
+    /// Gangs placed on machines of different speeds while speeds decide.
+    GangsMixed,
     /// Core-seconds of discarded work: runs preempted to free capacity.
     WastedPreemptedCoreS,
     /// Core-seconds of discarded work: runs of cancelled or failed jobs.
--- a/crates/control/src/term.rs
+++ b/crates/control/src/term.rs
@@ -316,6 +316,12 @@
     node.metrics.set(Counter::TasksFailed, counts.failed);
     node.metrics.set(Counter::TasksBroken, counts.broken);
     node.metrics.set(Counter::TasksAlone, counts.alone);
+    node.metrics
+        .set(Counter::MachinesFast, counts.machines_fast);
+    node.metrics
+        .set(Counter::MachinesSlow, counts.machines_slow);
+    node.metrics.set(Counter::GangsAlike, counts.gangs_alike);
+    node.metrics.set(Counter::GangsMixed, counts.gangs_mixed);
     for (counter, core_ms) in [
         (
             Counter::WastedPreemptedCoreS,
--- a/crates/scheduler/src/counts.rs
+++ b/crates/scheduler/src/counts.rs
@@ -29,6 +29,14 @@
     pub entries_set_aside: u64,
     /// Workers that answered as a later incarnation.
     pub restarted: u64,
+    /// Machines known to be faster than usual, and slower.
+    pub machines_fast: u64,
+    /// See [`RunCounts::machines_fast`].
+    pub machines_slow: u64,
+    /// Gangs placed on machines of like speed while speeds decide.
+    pub gangs_alike: u64,
+    /// Gangs placed on machines of different speeds while speeds decide, as there was no room on like ones.
+    pub gangs_mixed: u64,
     /// Work discarded by preempted runs, in core-milliseconds.
     pub discarded_preempted_core_ms: u64,
     /// The same by runs of cancelled or failed jobs.
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -49,6 +49,9 @@
             );
         }
         if ended.outcome == RunOutcome::Done {
+            if is_current {
+                self.learn_from_end(key, worker, now_ms);
+            }
             self.note_unstored_done(worker, ended);
             if let Some(worker) = self.workers.get_mut(worker) {
                 worker.health.record_success();
@@ -374,6 +377,7 @@
             job.state = JobState::Completed;
             let id = job.stored.id;
             let why = format!("all tasks are done; {}", job.describe_timing());
+            let why = why + &self.describe_run_time(key);
             self.record_decision(Some(id), "job ended", why);
         }
         self.mark_dirty(key);
--- a/crates/scheduler/src/events.rs
+++ b/crates/scheduler/src/events.rs
@@ -223,6 +223,7 @@
             task.started_ms = now_ms;
         }
         self.clear_suspicion(key, now_ms);
+        self.learn_from_share(key, worker, percent, now_ms);
         if fresh && gang {
             self.jobs[key.group.job].groups[key.group.group as usize].progress =
                 progress.to_string();
--- a/crates/scheduler/src/fit.rs
+++ b/crates/scheduler/src/fit.rs
@@ -22,6 +22,8 @@
     pub off_rack: bool,
     /// Whether runs failed on the worker recently, or a task there may crash it; such workers are chosen last.
     pub recently_failed: bool,
+    /// Order of preference by the speed of the machine, the least first; the same for all if it decides nothing.
+    pub speed_rank: u8,
     /// Whether nothing runs on the worker, and nothing of the group was placed there.
     pub empty: bool,
 }
@@ -40,14 +42,15 @@
     }
 
     /// Returns the sort key; the lowest is the best: a worker that is not quarantined, without recent failures, on
-    /// the rack of the data, on the rack with the fewest free accelerators, with the least free capacity left. This keeps
+    /// the rack of the data, on a machine of suitable speed, on the rack with the fewest free accelerators, with the least free capacity left. This keeps
     /// whole racks free for gangs.
-    pub fn rank(&self, need: &Resources) -> (bool, bool, bool, i64, i64, i64) {
+    pub fn rank(&self, need: &Resources) -> (bool, bool, bool, u8, i64, i64, i64) {
         let left = self.free.minus(need);
         (
             self.quarantined,
             self.recently_failed,
             self.off_rack,
+            self.speed_rank,
             self.rack_free,
             left.accelerators,
             left.cpu_millis,
@@ -99,6 +102,16 @@
     candidates.chunk_by(|a, b| a.rack == b.rack)
 }
 
+/// Returns those candidates that suit best by their speed, then those that suit at least second best. None where the
+/// speeds of machines decide nothing.
+pub(crate) fn list_like_speeds(candidates: &[Candidate]) -> impl Iterator<Item = Vec<Candidate>> {
+    let worst = candidates.iter().map(|c| c.speed_rank).max().unwrap_or(0);
+    (0..worst).map(|most| {
+        let suits = |candidate: &&Candidate| candidate.speed_rank <= most;
+        candidates.iter().filter(suits).copied().collect()
+    })
+}
+
 /// Returns workers for all tasks on one rack; of several racks, the one with the fewest free accelerators. None if no
 /// rack fits all of them.
 pub(crate) fn find_places_on_one_rack(
@@ -173,6 +186,7 @@
         let mut free_by_rack: Vec<i64> = self.racks.table();
         let mut candidates = Vec::with_capacity(self.workers.len());
         let joins_suspects = self.may_join_suspects(group, now_ms);
+        let use_of_speed = self.use_of_speed(group);
         let data_rack = &self.jobs[group.job].step_of(group.group as usize).data_rack;
         let data_rack = data_rack.as_ref().map(|rack| self.racks.find(rack));
         for (key, worker) in &self.workers {
@@ -199,6 +213,7 @@
                 off_rack: reach == Reach::Anywhere
                     && data_rack.is_some_and(|rack| rack != Some(worker.rack)),
                 recently_failed: worker.health.has_recent_failure() || is_held,
+                speed_rank: self.speed_rank(use_of_speed, key),
                 empty: worker.is_empty(),
             });
         }
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -99,6 +99,12 @@
     pub started_ms: u64,
     /// When the completed share last grew.
     pub progressed_ms: u64,
+    /// The first share that the current run reported, in hundredths, and when.
+    pub first_share: Option<(u32, u64)>,
+    /// Whether the current run goes on from saved progress.
+    pub is_resumed: bool,
+    /// Whether the time that the current run takes was learned from.
+    pub is_timed: bool,
     /// The task is not started before this time.
     pub not_before_ms: u64,
     /// The worker on which a run of the task last failed, or which last refused its start.
@@ -127,6 +133,9 @@
             placed_ms: 0,
             started_ms: 0,
             progressed_ms: 0,
+            first_share: None,
+            is_resumed: false,
+            is_timed: false,
             not_before_ms: 0,
             avoid: None,
             is_listed: false,
--- a/crates/scheduler/src/headroom.rs
+++ b/crates/scheduler/src/headroom.rs
@@ -8,6 +8,7 @@
 
 use crate::fit::{Candidate, count_fitting_tasks, find_best_candidate, split_by_rack};
 use crate::group::GroupKey;
+use crate::learning::UseOfSpeed;
 use crate::planner::Planner;
 use crate::spec::Resources;
 use crate::urgent::UrgentArrival;
@@ -92,6 +93,7 @@
                 quarantined: false,
                 off_rack: false,
                 recently_failed: worker.health.has_recent_failure(),
+                speed_rank: self.speed_rank(UseOfSpeed::Urgent, key),
                 empty: worker.is_empty(),
             })
             .collect();
@@ -104,7 +106,7 @@
         let job = &self.jobs[group.job];
         let group_state = &job.groups[group.group as usize];
         let waited_ms = group_state.waited_ms(now_ms);
-        let slack_ms = job.slack_ms(job.step_of(group.group as usize));
+        let slack_ms = job.slack_ms(self.expected_run_ms(group));
         let wait_percent = match job.stored.priority {
             0 | 1 => HEADROOM_WAIT_PERCENT,
             _ => LOW_PRIORITY_HEADROOM_WAIT_PERCENT,
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -103,10 +103,10 @@
         }
     }
 
-    /// Returns how long a step can wait and still be on time, by the caller's estimate.
-    pub fn slack_ms(&self, step: &StepSpec) -> u64 {
+    /// Returns how long a step that takes `run_ms` can wait and still be on time.
+    pub fn slack_ms(&self, run_ms: u64) -> u64 {
         let beyond_percent = u64::from(self.stored.stretch_percent.saturating_sub(100));
-        let stretch_ms = step.estimate_ms.saturating_mul(beyond_percent) / 100;
+        let stretch_ms = run_ms.saturating_mul(beyond_percent) / 100;
         stretch_ms.saturating_add(self.stored.goal_ms)
     }
 
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -16,6 +16,7 @@
 mod health;
 mod idle;
 mod job;
+mod learning;
 mod leaving;
 mod listing;
 mod lives;
--- a/crates/scheduler/src/listing.rs
+++ b/crates/scheduler/src/listing.rs
@@ -88,6 +88,7 @@
         let key = self
             .workers
             .insert(Worker::new(entry, rack, now_ms, self.inherited_expiry_ms));
+        self.policy.speeds.add(key, &id);
         self.by_id.insert(id, key);
         key
     }
@@ -96,6 +97,10 @@
         let worker = &mut self.workers[key];
         worker.proposed = None;
         worker.update_leave(&entry, asked_ms, now_ms);
+        // The entry is at most as old as the reading of the list.
+        if entry.cold_left_ms > 0 {
+            worker.cold_until_ms = now_ms + entry.cold_left_ms;
+        }
         let before = worker.entry.capacity;
         let after = entry.capacity;
         if worker.entry.rack != entry.rack {
--- a/crates/scheduler/src/lives.rs
+++ b/crates/scheduler/src/lives.rs
@@ -235,6 +235,7 @@
             }
         }
         if let Some(worker) = self.workers.remove(key) {
+            self.policy.speeds.remove(key);
             if self.by_id.get(&worker.entry.id) == Some(&key) {
                 self.by_id.remove(&worker.entry.id);
             }
--- a/crates/scheduler/src/planner.rs
+++ b/crates/scheduler/src/planner.rs
@@ -426,6 +426,8 @@
         task.since_ms = now_ms;
         task.placed_ms = now_ms;
         task.progressed_ms = now_ms;
+        (task.first_share, task.is_timed) = (None, false);
+        task.is_resumed = !task.progress.is_empty();
         let suspect = self
             .jobs
             .get(key.group.job)
--- a/crates/scheduler/src/policy/mod.rs
+++ b/crates/scheduler/src/policy/mod.rs
@@ -5,6 +5,7 @@
 //! that state is written to the store as [`SharesRecord`] and [`LearnedRecord`].
 
 pub(crate) mod durations;
+pub(crate) mod machine;
 mod memory;
 pub(crate) mod shares;
 pub(crate) mod speeds;
--- a/crates/scheduler/src/preempt.rs
+++ b/crates/scheduler/src/preempt.rs
@@ -131,10 +131,10 @@
     /// which it would be on time.
     fn worthwhile_wait_ms(&self, group: GroupKey) -> u64 {
         let job = &self.jobs[group.job];
-        let estimate_ms = job.step_of(group.group as usize).estimate_ms;
+        let run_ms = self.expected_run_ms(group);
         let on_time_ms =
-            estimate_ms * u64::from(job.stored.stretch_percent) / 100 + job.stored.goal_ms;
-        (on_time_ms * WORTHWHILE_FACTOR).saturating_sub(estimate_ms)
+            run_ms.saturating_mul(u64::from(job.stored.stretch_percent)) / 100 + job.stored.goal_ms;
+        (on_time_ms * WORTHWHILE_FACTOR).saturating_sub(run_ms)
     }
 
     /// Returns whether at least half of the accelerators of a group's service are in use, or of its cores if it has no
@@ -152,21 +152,11 @@
         }
     }
 
-    /// Returns when the current run of a task is expected to end, now if it is overdue; none if it lasts.
-    fn expected_end_ms(&self, key: TaskKey, now_ms: u64) -> Option<u64> {
-        let step = self.jobs[key.group.job].step_of(key.group.group as usize);
-        let task = self.task(key).filter(|_| !step.lasting)?;
-        let left_ms = step.estimate_ms * u64::from(100_u32.saturating_sub(task.percent)) / 100;
-        let since_ms = task.progressed_ms.max(task.began_ms());
-        Some((since_ms + left_ms).max(now_ms))
-    }
-
     /// Returns the most work, in core-milliseconds, that may be discarded so that a group starts now. It is higher
     /// while the group can still be on time, counting the time of the stops, and unbounded when the guarantee of its
     /// organisation would be broken otherwise.
     fn max_acceptable_loss(&self, group: GroupKey, waited_ms: u64) -> i64 {
         let job = &self.jobs[group.job];
-        let step = job.step_of(group.group as usize);
         let stop_ms = self.limits.stop_grace_ms + ORDER_DELIVERY_MARGIN_MS;
         let reclaim_ms = self
             .limits
@@ -175,7 +165,10 @@
         if waited_ms >= reclaim_ms && self.is_guaranteed(group.job) {
             return i64::MAX;
         }
-        let slack_ms = job.slack_ms(step).saturating_sub(stop_ms).max(1);
+        let slack_ms = job
+            .slack_ms(self.expected_run_ms(group))
+            .saturating_sub(stop_ms)
+            .max(1);
         match waited_ms > slack_ms {
             true => MAX_LOSS_LATE_CORE_MS,
             false => MAX_LOSS_ON_TIME_CORE_MS,
@@ -305,7 +298,14 @@
                 choose_victims(&candidates[index], victims, need, &plan.victims)
                     .map(|more| (index, more))
             })
-            .min_by_key(|(index, more)| (sum_loss(more), candidates[*index].free.accelerators))?;
+            .min_by_key(|(index, more)| {
+                let candidate = &candidates[*index];
+                (
+                    sum_loss(more),
+                    candidate.speed_rank,
+                    candidate.free.accelerators,
+                )
+            })?;
         for victim in &more {
             candidates[index].free += victim.resources;
             plan.loss = plan.loss.saturating_add(victim.loss);
--- a/crates/scheduler/src/restore.rs
+++ b/crates/scheduler/src/restore.rs
@@ -202,6 +202,7 @@
         data_centre: String::new(),
         leaving: stored.leaving,
         remaining_ms: None,
+        cold_left_ms: 0,
         capacity: Resources::default(),
         labels: Vec::new(),
         rack: String::new(),
--- a/crates/scheduler/src/schedule.rs
+++ b/crates/scheduler/src/schedule.rs
@@ -4,7 +4,9 @@
 
 use slotmap::SecondaryMap;
 
-use crate::fit::{Candidate, find_best_candidate, find_places, find_places_on_one_rack};
+use crate::fit::{
+    Candidate, find_best_candidate, find_places, find_places_on_one_rack, list_like_speeds,
+};
 use crate::group::{GroupKey, JobKey, Phase, TaskKey};
 use crate::job::JobState;
 use crate::overdue::{IdleWork, Reach};
@@ -31,6 +33,7 @@
     /// Decides which tasks start and stop now. `unix_ms` is the time of day, for jobs with a schedule.
     pub fn plan(&mut self, now_ms: u64, unix_ms: u64) {
         self.changed = false;
+        self.refresh_speeds(now_ms);
         self.expire_leases(now_ms);
         self.stop_before_leave(now_ms);
         self.stop_remaining_members(now_ms);
@@ -174,8 +177,8 @@
         let job = &self.jobs[group.job];
         let waited_ms =
             now_ms.saturating_sub(job.groups[group.group as usize].ready_ms.unwrap_or(now_ms));
-        let estimate_ms = job.step_of(group.group as usize).estimate_ms;
-        waited_ms > estimate_ms.saturating_mul(self.limits.remote_slowdown.saturating_sub(1))
+        let run_ms = self.expected_run_ms(group);
+        waited_ms > run_ms.saturating_mul(self.limits.remote_slowdown.saturating_sub(1))
     }
 
     /// Places all tasks of a gang, or none.
@@ -417,14 +420,12 @@
             .workers
             .get(places[0].1)
             .map_or_else(String::new, |w| w.entry.id.clone());
-        self.record_decision(
-            Some(id),
-            "placed",
-            format!(
-                "step {step}, {} tasks, first on {first}, job known for {waited_ms} ms",
-                places.len()
-            ),
+        let why = format!(
+            "step {step}, {} tasks, first on {first}, job known for {waited_ms} ms",
+            places.len()
         );
+        let speeds = self.describe_speeds(gang, places);
+        self.record_decision(Some(id), "placed", why + &speeds);
         for (index, worker) in places {
             let key = TaskKey {
                 group,
@@ -449,12 +450,18 @@
     count: usize,
     may_spread: bool,
 ) -> Option<Vec<WorkerKey>> {
-    let find = |candidates: &[Candidate]| {
+    let find_any = |candidates: &[Candidate]| {
         find_places_on_one_rack(candidates, need, count).or_else(|| match may_spread {
             true => find_places(candidates, need, count),
             false => None,
         })
     };
+    // A gang runs as fast as its slowest member, so its members are best of like speed.
+    let find = |candidates: &[Candidate]| {
+        list_like_speeds(candidates)
+            .find_map(|alike| find_any(&alike))
+            .or_else(|| find_any(candidates))
+    };
     let trusted: Vec<Candidate> = candidates
         .iter()
         .filter(|candidate| !candidate.quarantined)
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -71,6 +71,8 @@
     pub leaving: bool,
     /// The least time until it leaves, in milliseconds, if it has announced one.
     pub remaining_ms: Option<u64>,
+    /// How much longer it remains slow after its start, in milliseconds.
+    pub cold_left_ms: u64,
     /// Its total resources.
     pub capacity: Resources,
     /// Its labels, including its rack.
@@ -210,6 +212,8 @@
     pub leaves_at_ms: Option<u64>,
     /// When the newest list that names it was asked for.
     pub listed_asked_ms: Option<u64>,
+    /// Until when it may be slow after its start.
+    pub cold_until_ms: u64,
     /// Whether its lease is kept short, since its entry says that it leaves or a stored record may say so.
     pub has_short_lease: bool,
     /// Whether it gets no new work because its machine goes down for maintenance.
@@ -255,6 +259,7 @@
             answered_ms: 0,
             leaves_at_ms: None,
             listed_asked_ms: None,
+            cold_until_ms: 0,
             has_short_lease: false,
             draining: false,
             unresponsive: false,
@@ -323,6 +328,7 @@
     pub fn begin_incarnation(&mut self, born_unix_ms: u64, lease_ms: u64, report: &RenewalReport) {
         match self.proposed.take() {
             Some(entry) if entry.born_unix_ms == born_unix_ms => {
+                self.cold_until_ms = report.received_ms + entry.cold_left_ms;
                 self.entry = entry;
                 self.listed = true;
             }
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -9,6 +9,7 @@
 pub mod live_worker;
 pub mod lives_calls;
 pub mod lives_play;
+pub mod speed_site;
 
 use scheduler::prelude::*;
 use scheduler::{
@@ -37,6 +38,7 @@
         data_centre: "gyor".to_string(),
         leaving: false,
         remaining_ms: None,
+        cold_left_ms: 0,
         capacity: Resources {
             cpu_millis: 64_000,
             memory_mb: 131_072,
