Compare tasks by machines of sure speed, and machines rather than tasks

Cause: the reference rate of a step was the median of its tasks. Change: the reference is the median over machines, at least 5 or 2 of known speed; only machines that are set apart count at their speed; an observation is as unsure as its reference.

--- a/crates/scheduler/src/policy/machine.rs
+++ b/crates/scheduler/src/policy/machine.rs
@@ -107,6 +107,15 @@
         }
     }
 
+    /// Returns its speed in relation to the usual one if it is set apart, 0 otherwise: what is not sure of one machine must
+    /// not colour what is learned of others.
+    pub fn sure_speed(&self, usual: f64) -> f64 {
+        match self.class {
+            SpeedClass::Usual => 0.0,
+            SpeedClass::Fast | SpeedClass::Slow => self.speed - usual,
+        }
+    }
+
     /// Returns a machine of which a predecessor knew a speed, or nothing is known.
     pub fn new(id: String, inherited: Option<f64>) -> Machine {
         let mut machine = Machine {
@@ -179,7 +188,7 @@
 }
 
 /// Returns the median of values with weights; between two halves, their mean.
-fn weighted_median(values: &mut [(f64, f64)]) -> f64 {
+pub(crate) fn weighted_median(values: &mut [(f64, f64)]) -> f64 {
     values.sort_by(|a, b| a.0.total_cmp(&b.0));
     let half = values.iter().map(|(_, weight)| weight).sum::<f64>() / 2.0;
     let mut below = 0.0;
--- a/crates/scheduler/src/policy/speeds.rs
+++ b/crates/scheduler/src/policy/speeds.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use slotmap::SecondaryMap;
 
-use super::machine::{Machine, Observation, SpeedClass, median};
+use super::machine::{Machine, Observation, SpeedClass, median, weighted_median};
 use crate::group::{GroupKey, TaskKey};
 use crate::worker::WorkerKey;
 
@@ -17,6 +17,14 @@
 const MAX_SIBLINGS: usize = 64;
 const MIN_SIBLINGS: usize = 4;
 
+/// The fewest machines that allow a comparison, if fewer than a number of them are of known speed: a step may be on a few
+/// fast machines only, and then says nothing of what is usual.
+const MIN_COMPARED: usize = 5;
+const MIN_KNOWN: usize = 2;
+
+/// Variance of the speed of a machine of which nothing is known: some run at half or twice the speed of others.
+const UNKNOWN_VARIANCE: f64 = 0.15;
+
 /// Steps whose tasks are compared at the same time; the one not seen for longest gives way. A step is dropped that
 /// reported nothing for five times the longest time between two reports.
 const MAX_STEPS: usize = 128;
@@ -181,37 +189,32 @@
         }
     }
 
-    /// Compares the tasks of a step with each other.
+    /// Compares the tasks of a step with each other, each at the speed that its machine is known for.
     fn compare(&mut self, group: GroupKey) {
         let Some(step) = self.steps.get_mut(&group) else {
             return;
         };
         step.fresh = 0;
-        let first = step.siblings.first().map(|sibling| sibling.worker);
-        if step.siblings.len() < MIN_SIBLINGS
-            || step.siblings.iter().all(|s| Some(s.worker) == first)
-        {
+        step.siblings.sort_by_key(|sibling| sibling.worker);
+        let Some((usual, reference_variance)) =
+            find_usual_rate(&step.siblings, &self.machines, self.usual)
+        else {
             return;
-        }
-        let machines = &self.machines;
+        };
         let speed = |worker| {
-            machines
-                .get(worker)
-                .map_or(0.0, |machine| machine.speed - self.usual)
+            let machine = self.machines.get(worker);
+            machine.map_or(0.0, |machine| machine.sure_speed(self.usual))
         };
-        let mut at_usual_speed: Vec<f64> = step
+        let mut deviations: Vec<f64> = step
             .siblings
             .iter()
-            .map(|sibling| sibling.rate - speed(sibling.worker))
+            .map(|sibling| (sibling.rate - speed(sibling.worker) - usual).abs())
             .collect();
-        let Some(usual) = median(&mut at_usual_speed) else {
-            return;
-        };
-        let mut deviations: Vec<f64> = at_usual_speed.iter().map(|r| (r - usual).abs()).collect();
         let deviation = median(&mut deviations).unwrap_or_default() * DEVIATION_OF_MEDIAN;
         let count = step.siblings.len() as f64;
         let variance = (deviation * deviation * count + TASK_VARIANCE * TASK_VARIANCE_WEIGHT)
-            / (count + TASK_VARIANCE_WEIGHT);
+            / (count + TASK_VARIANCE_WEIGHT)
+            + reference_variance;
         for sibling in &step.siblings {
             if let Some(machine) = self.machines.get_mut(sibling.worker) {
                 machine.record(Observation {
@@ -370,3 +373,31 @@
             .collect();
     }
 }
+
+/// Returns the rate of a step's tasks on a machine of usual speed, and its variance: the median of the machines, those of
+/// known speed before others. None with too few machines. The tasks are in the order of their machines.
+fn find_usual_rate(
+    siblings: &[Sibling],
+    machines: &SecondaryMap<WorkerKey, Machine>,
+    usual_speed: f64,
+) -> Option<(f64, f64)> {
+    let mut rates: Vec<(f64, f64)> = Vec::new();
+    let mut known = 0;
+    for here in siblings.chunk_by(|a, b| a.worker == b.worker) {
+        let machine = machines.get(here.first()?.worker)?;
+        let mean = here.iter().map(|sibling| sibling.rate).sum::<f64>() / here.len() as f64;
+        let work = TASK_VARIANCE / here.len() as f64;
+        let speed = machine.sure_speed(usual_speed);
+        let variance = match machine.is_known() {
+            true => machine.variance,
+            false => UNKNOWN_VARIANCE,
+        };
+        known += usize::from(machine.is_known());
+        rates.push((mean - speed, (work + variance).recip()));
+    }
+    if siblings.len() < MIN_SIBLINGS || rates.len() < MIN_COMPARED && known < MIN_KNOWN {
+        return None;
+    }
+    let weight: f64 = rates.iter().map(|(_, weight)| weight).sum();
+    Some((weighted_median(&mut rates), weight.recip()))
+}
