--- a/crates/scheduler/src/failing.rs
+++ b/crates/scheduler/src/failing.rs
@@ -130,7 +130,7 @@
                 .max(state.gang_failed),
             attempts: job.stored.attempts.max(1),
             waited_ms: state.waited_ms(now_ms),
-            slack_ms: job.slack_ms(step),
+            slack_ms: job.slack_ms(self.expected_run_ms(group)),
         }
     }
 }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -16,6 +16,7 @@
 mod headroom;
 mod idle;
 mod job;
+mod learning;
 mod leaving;
 mod listing;
 mod lives;
--- a/crates/scheduler/src/planner.rs
+++ b/crates/scheduler/src/planner.rs
@@ -434,6 +434,8 @@
         task.since_ms = now_ms;
         task.placed_ms = now_ms;
         task.progressed_ms = now_ms;
+        (task.first_share, task.is_timed) = (None, false);
+        task.is_resumed = !task.progress.is_empty();
         let job = self.jobs.get(key.group.job);
         let suspect = job.is_some_and(|job| self.is_suspect(job, key));
         let account = job.map_or_else(AccountKey::default, |job| job.account);
--- a/crates/scheduler/src/policy/mod.rs
+++ b/crates/scheduler/src/policy/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod departures;
 pub(crate) mod durations;
 pub(crate) mod failures;
+pub(crate) mod machine;
 mod memory;
 pub(crate) mod shares;
 pub(crate) mod speeds;
--- a/crates/scheduler/src/turns.rs
+++ b/crates/scheduler/src/turns.rs
@@ -140,7 +140,10 @@
                 .is_some_and(|needed| *needed <= guaranteed);
         let (slack_ms, worthwhile_ms) = match step.lasting {
             true => (0, None),
-            false => (job.slack_ms(step), Some(self.worthwhile_wait_ms(key))),
+            false => (
+                job.slack_ms(self.expected_run_ms(key)),
+                Some(self.worthwhile_wait_ms(key)),
+            ),
         };
         let need = job
             .need_of(key.group as usize)
