Do not refuse a job as "not run" while an earlier attempt through this node is in doubt

A 503 means that the job never runs. Change: a node remembers the jobs whose submission it has left in doubt (outage::Doubts, 1,024 at most, for 10 s) and answers 504 instead of 503 for them, also to a peer that passes such a call on. Another node that is not asked through this one does not know, as docs/design/outage.md says.

--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -47,6 +47,8 @@
     AnsweredForPeer,
     /// Calls in doubt that were settled within their caller's deadline.
     DoubtSettled,
+    /// Refusals answered 504 instead, because an earlier attempt at the same job is in doubt.
+    RefusalsWithheld,
     /// Answered 504: it is not known whether the store carried out the call.
     OutcomeUnknown,
     /// Store calls.
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -21,6 +21,7 @@
 use crate::lead_preference::is_larger;
 use crate::log::Log;
 use crate::metrics::{Counter, Metrics};
+use crate::outage::Doubts;
 use crate::peers::PeerList;
 use crate::reply::Reply;
 use crate::returns::Returns;
@@ -81,6 +82,8 @@
     /// The store lease of the lead, while this node holds it.
     pub lead_lease: Mutex<Option<u64>>,
     pub waiting_counts: Mutex<WaitingCounts>,
+    /// The jobs whose submission this node has left in doubt.
+    pub doubts: Mutex<Doubts>,
     /// When callers that this node refuses in an outage come back.
     pub returns: Mutex<Returns>,
     final_states: Mutex<HashMap<JobId, JobState>>,
@@ -113,6 +116,7 @@
             active_requests: AtomicUsize::new(0),
             lead_lease: Mutex::new(None),
             waiting_counts: Mutex::new(WaitingCounts::default()),
+            doubts: Mutex::new(Doubts::default()),
             returns: Mutex::new(Returns::default()),
             final_states: Mutex::new(HashMap::new()),
             answering: Semaphore::new(settings.limits.max_answering()),
--- a/crates/control/src/outage.rs
+++ b/crates/control/src/outage.rs
@@ -1,6 +1,10 @@
 //! Decides what is done with callers' calls while the store is away or turns this node away: whether the store is read
 //! before a write, and how long a call in doubt is repeated. Takes what was observed and the time, returns the next step.
 
+use std::collections::VecDeque;
+
+use scheduler::JobId;
+
 /// Delay between two attempts at a call in doubt: a tenth of a second is little beside the second after which
 /// a caller that is refused comes back.
 pub const REPEAT_EVERY_MS: u64 = 100;
@@ -65,3 +69,40 @@
         Attempt::NoAnswer | Attempt::NotPermitted => DoubtStep::AnswerUnknown,
     }
 }
+
+/// How long a write without an answer may still be carried out; the platform's documentation says "seconds".
+pub const DOUBT_LASTS_MS: u64 = 10_000;
+
+/// The most jobs in doubt that are remembered, 16 bytes each; the oldest is forgotten first.
+pub const MAX_DOUBTS: usize = 1_024;
+
+/// The jobs whose submission this node has left in doubt. A later attempt at one of them is not refused as "not run": its
+/// refusal would be taken for the job's.
+#[derive(Debug, Default)]
+pub struct Doubts {
+    /// Each job, and when its doubt was last known, in the order of these times.
+    jobs: VecDeque<(JobId, u64)>,
+}
+
+impl Doubts {
+    /// Remembers a job whose submission is in doubt now.
+    pub fn remember(&mut self, job: JobId, now_ms: u64) {
+        self.forget(job);
+        if self.jobs.len() >= MAX_DOUBTS {
+            self.jobs.pop_front();
+        }
+        self.jobs.push_back((job, now_ms));
+    }
+
+    /// Forgets a job whose submission is no longer in doubt.
+    pub fn forget(&mut self, job: JobId) {
+        self.jobs.retain(|(known, _)| *known != job);
+    }
+
+    /// Returns whether an earlier submission of a job may still take effect.
+    pub fn contains(&self, job: JobId, now_ms: u64) -> bool {
+        self.jobs.iter().any(|(known, since_ms)| {
+            *known == job && now_ms.saturating_sub(*since_ms) < DOUBT_LASTS_MS
+        })
+    }
+}
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -31,6 +31,7 @@
 use crate::node::Node;
 use crate::reply::Reply;
 use crate::requests::{ActiveRequest, handle_locally};
+use crate::settle::heed_earlier_doubt;
 
 /// How long a node's entry lasts after its last renewal: longer than the longest outage that the users list, so that
 /// few entries have to be written again after one.
@@ -311,6 +312,7 @@
             passed_on: true,
         };
         let reply = handle_locally(node, &call, &method, &passed.body).await;
+        let reply = heed_earlier_doubt(node, &call, &method, reply);
         if !reply.is_store_failure() {
             node.metrics.count(Counter::AnsweredForPeer);
         }
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -19,7 +19,7 @@
 use crate::peers::pass_on;
 use crate::reply::Reply;
 use crate::returns::{MIN_RETRY_AFTER_S, Refused, acceptances_per_s};
-use crate::settle::Settling;
+use crate::settle::{Settling, heed_earlier_doubt};
 
 /// How long a caller waits that sends no timeout; all kinds of request have this budget today.
 pub(crate) const DEFAULT_WAIT_MS: u64 = 3_000;
@@ -121,6 +121,7 @@
         Ok(body) => match node.permit_answer(&call).await {
             Ok(_permit) => {
                 let reply = answer_and_settle(node, &call, &method, &body.bytes).await;
+                let reply = heed_earlier_doubt(node, &call, &method, reply);
                 let retry_after_s = match method == Method::POST && reply.is_refused_in_outage() {
                     true => spread_return(node, &call, caller_timeout_ms, &body.bytes),
                     false => MIN_RETRY_AFTER_S,
--- a/crates/control/src/settle.rs
+++ b/crates/control/src/settle.rs
@@ -3,6 +3,8 @@
 
 use std::time::Duration;
 
+use poem::http::Method;
+use scheduler::JobId;
 use serde_json::Value;
 
 use crate::call::Call;
@@ -82,6 +84,31 @@
     }
 }
 
+/// Returns the answer to a submission, after what this node remembers of the doubt about its job: a refusal as "not run"
+/// becomes "unknown" while an earlier attempt may still take effect.
+pub(crate) fn heed_earlier_doubt(node: &Node, call: &Call, method: &Method, reply: Reply) -> Reply {
+    let Ok(id) = call.target.last_part().parse::<JobId>() else {
+        return reply;
+    };
+    let (Ok(mut doubts), &Method::POST) = (node.doubts.lock(), method) else {
+        return reply;
+    };
+    match &reply {
+        Reply::OutcomeUnknown => doubts.remember(id, now_ms()),
+        Reply::State(_) => doubts.forget(id),
+        refused if refused.is_refused_in_outage() && doubts.contains(id, now_ms()) => {
+            drop(doubts);
+            node.metrics.count(Counter::RefusalsWithheld);
+            let fields = [("reason", Value::from("an earlier attempt is in doubt"))];
+            node.log
+                .request("intake", "refusal withheld", &id.to_string(), &fields);
+            return Reply::OutcomeUnknown;
+        }
+        _ => {}
+    }
+    reply
+}
+
 /// Returns what a reply to a call in doubt shows.
 fn judge_attempt(reply: &Reply) -> Attempt {
     match reply {
--- a/crates/control/tests/outage.rs
+++ b/crates/control/tests/outage.rs
@@ -7,9 +7,13 @@
 
 use std::time::Duration;
 
-use control::outage::{Attempt, DoubtStep, FirstStep, choose_doubt_step, choose_first_step};
+use control::outage::{
+    Attempt, DOUBT_LASTS_MS, DoubtStep, Doubts, FirstStep, MAX_DOUBTS, choose_doubt_step,
+    choose_first_step,
+};
 use platform_standin::StoreFault;
 use rstest::rstest;
+use scheduler::JobId;
 use support::{KEY, Site};
 
 const LONG_RUN: Duration = Duration::from_secs(3_600);
@@ -126,6 +130,9 @@
         site.store.set_fault(StoreFault::Busy);
     });
     assert_eq!(status, 504, "the write may still take effect");
+    assert_eq!(site.submit(0, 1, 1).await, 504, "so it may later");
+    assert_eq!(site.submit(0, 2, 1).await, 503, "this one was not sent");
+    assert_eq!(site.read_metric(0, "refusals_withheld_total").await, 1);
     site.store.set_fault(StoreFault::None);
     site.wait("the job runs after all", async |site| {
         site.audit.running() == 1
@@ -180,3 +187,37 @@
     .await;
     assert_eq!(site.read_metric(0, "returns_spread_total").await, spread);
 }
+
+#[rstest]
+#[case::known(1, 0, true)]
+#[case::known_until_it_ends(1, DOUBT_LASTS_MS - 1, true)]
+#[case::over(1, DOUBT_LASTS_MS, false)]
+#[case::other_job(2, 0, false)]
+#[case::forgotten(3, 0, false)]
+fn doubts_contains_what_may_still_take_effect(
+    #[case] job: u64,
+    #[case] after_ms: u64,
+    #[case] contains: bool,
+) {
+    let mut doubts = Doubts::default();
+    doubts.remember(JobId::from(1), 0);
+    doubts.remember(JobId::from(3), 500);
+    doubts.remember(JobId::from(1), 1_000);
+    doubts.forget(JobId::from(3));
+    assert_eq!(
+        doubts.contains(JobId::from(job), 1_000 + after_ms),
+        contains
+    );
+}
+
+#[test]
+fn doubts_remember_the_latest_within_bound() {
+    let mut doubts = Doubts::default();
+    for job in 0..=MAX_DOUBTS as u64 {
+        doubts.remember(JobId::from(job), job);
+    }
+    let now_ms = MAX_DOUBTS as u64;
+    assert!(!doubts.contains(JobId::from(0), now_ms));
+    assert!(doubts.contains(JobId::from(1), now_ms));
+    assert!(doubts.contains(JobId::from(now_ms), now_ms));
+}
