Stop a group before an exit only by its own rate

Change: the last moment of a gang, and a notice under 2 s, are acted on only if the observed rate rules its end out. A silent worker counts as gone when its own lease ends, not when a predecessor's may have; only waiting work of the same service counts.

--- a/crates/scheduler/src/leaving.rs
+++ b/crates/scheduler/src/leaving.rs
@@ -80,6 +80,7 @@
 
     fn others_wait(&mut self) -> bool {
         let own = self.subject.group();
+        let service = &self.planner.jobs[own.job].stored.service;
         self.kept.ready.iter().any(|key| {
             let Some(job) = self.planner.jobs.get(key.job) else {
                 return false;
@@ -87,6 +88,7 @@
             let group = &job.groups[key.group as usize];
             let waits = |phase: Phase| phase == Phase::Waiting;
             *key != own
+                && job.stored.service == *service
                 && group.reservation.is_none()
                 && group.tasks.iter().any(|task| waits(task.phase))
         })
@@ -178,7 +180,12 @@
             false => worker.unlisted_since_ms,
         };
         let is_silent = now_ms > heard_ms + self.limits.unresponsive_ms;
-        let left_ms = worker.lease_expiry_ms().saturating_sub(now_ms);
+        // That of a predecessor may count for longer, but the worker itself ends its runs by then.
+        let lapses_ms = heard_ms + self.limits.lease_ms * 100 / 98;
+        let left_ms = worker
+            .lease_expiry_ms()
+            .min(lapses_ms)
+            .saturating_sub(now_ms);
         is_silent.then_some((left_ms, Cause::Silent))
     }
 
@@ -388,6 +395,7 @@
             least_ms,
             expected_ms,
             most_ms,
+            ..
         } = at_risk.remaining;
         let why = format!(
             "{name}: {reason}; {goes} in {} ms, worked {} ms, ends in {expected_ms} ms ({least_ms} to {most_ms}), saves its progress: {}, on other workers too: {}",
--- a/crates/scheduler/src/policy/departures.rs
+++ b/crates/scheduler/src/policy/departures.rs
@@ -39,6 +39,8 @@
     pub expected_ms: u64,
     /// The most that is plausible.
     pub most_ms: u64,
+    /// Whether that is known from the rate of the run itself, and not from a caller's estimate.
+    pub is_observed: bool,
 }
 
 /// How far a run has come since it was first observed, by the shares of done work that its worker reports.
@@ -62,6 +64,7 @@
         least_ms: u64::MAX,
         expected_ms: u64::MAX,
         most_ms: u64::MAX,
+        is_observed: false,
     };
 
     /// Returns what a caller's estimate says of the whole work, which takes no less than it has run already.
@@ -73,6 +76,7 @@
             least_ms: left_ms / ESTIMATE_FACTOR,
             expected_ms: left_ms,
             most_ms: left_ms.saturating_mul(ESTIMATE_FACTOR),
+            is_observed: false,
         }
         .minus(progress.age_ms)
     }
@@ -90,6 +94,7 @@
             least_ms: scale(left.saturating_sub(1), grown + 1),
             expected_ms: scale(left, grown),
             most_ms: scale(left, grown - 1),
+            is_observed: true,
         };
         Some(remaining.minus(progress.age_ms))
     }
@@ -107,6 +112,7 @@
             least_ms: self.least_ms.max(other.least_ms),
             expected_ms: self.expected_ms.max(other.expected_ms),
             most_ms: self.most_ms.max(other.most_ms),
+            is_observed: self.is_observed && other.is_observed,
         }
     }
 
@@ -115,9 +121,15 @@
             least_ms: self.least_ms.saturating_sub(ms),
             expected_ms: self.expected_ms.saturating_sub(ms),
             most_ms: self.most_ms.saturating_sub(ms),
+            is_observed: self.is_observed,
         }
     }
 
+    /// Returns whether the rate of the run rules out that it ends within a time.
+    pub fn is_out_of_reach(self, within_ms: u64) -> bool {
+        self.is_observed && self.chance_percent(within_ms) == 0
+    }
+
     /// Returns how likely the work ends within a time, in hundredths.
     pub fn chance_percent(self, within_ms: u64) -> u64 {
         let share = |from: u64, to: u64| match to.saturating_sub(from) {
@@ -238,7 +250,7 @@
                 false => Verdict::Keep(Keep::StopsLater),
             };
         }
-        if chance > 0 && self.left_ms < LEAST_GAIN_MS {
+        if !self.remaining.is_out_of_reach(self.left_ms) && self.left_ms < LEAST_GAIN_MS {
             return Verdict::Keep(Keep::LittleGain);
         }
         // Reports narrow the range soon; as long as the end is as likely, what was done is not given up for it.
@@ -266,7 +278,7 @@
         match (self.saves_progress, ends_sooner) {
             (true, false) => Verdict::Stop(Stop::SavesProgress),
             (_, true) => Verdict::Keep(Keep::EndsInTime),
-            (false, false) if self.remaining.chance_percent(latest_ms) == 0 => {
+            (false, false) if self.remaining.is_out_of_reach(latest_ms) => {
                 Verdict::Stop(Stop::BeforeExit)
             }
             (false, false) => Verdict::Keep(Keep::MayEnd),
