Choose workers whose runs stand still last, and stop nothing for gangs that wait for proven ones

That a worker stands still is known after 2 to 4 s, when it is mostly over, so that a quarantine kept work from sound workers. A gang that waited for proven workers had others stopped there although unproven ones had room.

Change: such a worker is chosen last until a run there grows or succeeds. A gang waits for proven workers no longer than its caller's latency goal, and nothing is stopped for it meanwhile; tasks that have never started don't wait for a last attempt beside them.

--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -84,8 +84,8 @@
     MovedStill,
     /// Answers of workers by which a run, or a gang, that stood still stayed where it was.
     StillKept,
-    /// Workers quarantined because their runs stood still.
-    QuarantinedStill,
+    /// Workers chosen last because their runs stood still.
+    WorkersStill,
     /// Tasks that failed.
     TasksFailed,
     /// Tasks that ended because another member of their gang did.
--- a/crates/control/src/term.rs
+++ b/crates/control/src/term.rs
@@ -317,7 +317,7 @@
     node.metrics.set(Counter::MovedStill, counts.moved_still);
     node.metrics.set(Counter::StillKept, counts.still_kept);
     node.metrics
-        .set(Counter::QuarantinedStill, counts.quarantined_still);
+        .set(Counter::WorkersStill, counts.workers_still);
     node.metrics
         .set(Counter::EntriesSetAside, counts.entries_set_aside);
     node.metrics
--- a/crates/scheduler/src/counts.rs
+++ b/crates/scheduler/src/counts.rs
@@ -33,8 +33,8 @@
     pub moved_still: u64,
     /// Answers of workers by which a run, or a gang, that stood still stayed where it was.
     pub still_kept: u64,
-    /// Workers that were quarantined because runs of several jobs stood still there.
-    pub quarantined_still: u64,
+    /// Workers that were chosen last from then on, because their runs stood still.
+    pub workers_still: u64,
     /// Runs that failed by their job's own fault, during a burst of failures.
     pub failed_by_job: u64,
     /// Entries of the list that contradict what their worker itself has said.
--- a/crates/scheduler/src/failing.rs
+++ b/crates/scheduler/src/failing.rs
@@ -81,8 +81,8 @@
         let id = self.jobs[group.job].stored.id;
         let tried = self.describe_tried(group, now_ms);
         let why = format!(
-            "{choice:?}: {} of {} attempts are used, can wait {} ms and be on time",
-            tried.failed, tried.attempts, tried.slack_ms
+            "{choice:?}: {} of {} attempts are used, latency goal {} ms",
+            tried.failed, tried.attempts, tried.goal_ms
         );
         self.record_decision(Some(id), "attempt kept", why);
     }
@@ -100,6 +100,12 @@
         }
     }
 
+    /// Returns whether a gang waits for proven workers for so short a time that nothing is stopped for it meanwhile.
+    pub(crate) fn may_soon_start_elsewhere(&self, group: GroupKey, now_ms: u64) -> bool {
+        let choice = self.choose_workers(group, now_ms);
+        matches!(choice, Choice::ProvenForGang(_))
+    }
+
     fn choose_workers(&self, group: GroupKey, now_ms: u64) -> Choice {
         let job = &self.jobs[group.job];
         let failures = &self.policy.failures;
@@ -120,17 +126,18 @@
         let state = &job.groups[group.group as usize];
         let step = job.step_of(group.group as usize);
         let waiting = state.tasks.iter().filter(|t| t.phase == Phase::Waiting);
+        // Tasks that have not started yet do not wait for the sake of others.
+        let failed = match waiting.clone().any(|task| task.run == 0) {
+            true => 0,
+            false => waiting.map(|task| task.failed).max().unwrap_or(0),
+        };
         Tried {
             job: job.stored.id,
             is_gang: step.gang,
-            failed: waiting
-                .map(|task| task.failed)
-                .max()
-                .unwrap_or(0)
-                .max(state.gang_failed),
+            failed: failed.max(state.gang_failed),
             attempts: job.stored.attempts.max(1),
             waited_ms: state.waited_ms(now_ms),
-            slack_ms: job.slack_ms(step),
+            goal_ms: job.stored.goal_ms,
         }
     }
 }
--- a/crates/scheduler/src/policy/failures.rs
+++ b/crates/scheduler/src/policy/failures.rs
@@ -58,6 +58,8 @@
     quarantine_until_ms: u64,
     /// Length of the last quarantine; 0 after a successful run.
     quarantine_ms: u64,
+    /// Whether its runs stood still and none has worked since.
+    stood_still: bool,
     /// Whether no run that began after the last quarantine has worked yet.
     on_probation: bool,
 }
@@ -74,6 +76,7 @@
 
     /// Records that a run works.
     pub fn record_work(&mut self, began_ms: u64) {
+        self.stood_still = false;
         self.proven_ms = self.proven_ms.max(began_ms);
         self.on_probation &= began_ms < self.quarantine_until_ms;
     }
@@ -108,6 +111,11 @@
         self.failed.truncate(QUARANTINE_FAILURES - 1);
     }
 
+    /// Records that the runs there stand still. Returns whether this was not known.
+    pub fn record_still(&mut self) -> bool {
+        !std::mem::replace(&mut self.stood_still, true)
+    }
+
     /// Returns whether the worker is not in quarantine.
     pub fn is_trusted(&self, now_ms: u64) -> bool {
         now_ms >= self.quarantine_until_ms
@@ -118,9 +126,9 @@
         self.on_probation
     }
 
-    /// Returns whether a run failed on the worker since the last successful one.
+    /// Returns whether a run failed on the worker since the last successful one, or its runs stand still: it is chosen last.
     pub fn has_recent_failure(&self) -> bool {
-        !self.failed.is_empty()
+        !self.failed.is_empty() || self.stood_still
     }
 
     /// Returns whether a run that began during a burst has worked, and none has failed after it began.
@@ -161,8 +169,8 @@
     pub attempts: u32,
     /// How long it has waited for this start.
     pub waited_ms: u64,
-    /// How long it can wait and still be on time.
-    pub slack_ms: u64,
+    /// The latency goal of its caller.
+    pub goal_ms: u64,
 }
 
 /// On which workers a group may start, as far as failures decide it.
@@ -172,7 +180,7 @@
     Usual,
     /// All: the job fails on workers on which others succeed, so that it may use up its attempts.
     JobAtFault,
-    /// Proven ones: the gang has failed before, and can wait and be on time.
+    /// Proven ones: the gang has failed before, and has waited for less than its caller's latency goal.
     ProvenForGang(Burst),
     /// Proven ones: this is the last attempt, and an end as failed is worth less than a delay.
     ProvenForLastAttempt(Burst),
@@ -356,7 +364,7 @@
         if is_last && tried.waited_ms < SHORTEST_DISRUPTION_MS {
             return Choice::ProvenForLastAttempt(burst);
         }
-        if tried.is_gang && tried.waited_ms < tried.slack_ms.min(SHORTEST_DISRUPTION_MS) {
+        if tried.is_gang && tried.waited_ms < tried.goal_ms.min(SHORTEST_DISRUPTION_MS) {
             return Choice::ProvenForGang(burst);
         }
         match is_last || tried.is_gang {
--- a/crates/scheduler/src/preempt.rs
+++ b/crates/scheduler/src/preempt.rs
@@ -58,6 +58,7 @@
         if job.stored.priority != 0
             || group_state.teardown_since_ms.is_some()
             || self.waits_for_empty_workers(group, now_ms)
+            || self.may_soon_start_elsewhere(group, now_ms)
         {
             return Vec::new();
         }
--- a/crates/scheduler/src/straggling.rs
+++ b/crates/scheduler/src/straggling.rs
@@ -39,7 +39,7 @@
             .collect();
         let finding = judge_worker(&seen);
         if finding == Finding::StandsStill {
-            self.quarantine_still_worker(key, seen.len(), now_ms);
+            self.record_still_worker(key, seen.len());
         }
         let mut moved = 0;
         for (task, sight) in runs {
@@ -75,20 +75,19 @@
         (is_running && !may_be_still && !job.state.is_final()).then(|| task.growth.sight())
     }
 
-    fn quarantine_still_worker(&mut self, key: WorkerKey, runs: usize, now_ms: u64) {
+    fn record_still_worker(&mut self, key: WorkerKey, runs: usize) {
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
-        if !worker.health.is_trusted(now_ms) {
+        if !worker.health.record_still() {
             return;
         }
-        worker.health.quarantine_for_failure(now_ms);
         let why = format!(
             "worker {} answers, but several of its {runs} runs stand still, and none works",
             worker.entry.id
         );
-        self.counts.quarantined_still += 1;
-        self.record_decision(None, "worker quarantined", why);
+        self.counts.workers_still += 1;
+        self.record_decision(None, "worker stands still", why);
     }
 
     /// Moves a run that stands still, or its gang, if that loses less. Returns whether it does. `moved` is the number of
