Keep the newest tasks of a step for comparison, in a fixed order

Cause: the task that gave way was the one on the first machine, not the oldest, and steps were visited in the order of a random hash. Change: tasks give way in the order of their reports; ordered maps.

--- a/crates/scheduler/src/policy/speeds.rs
+++ b/crates/scheduler/src/policy/speeds.rs
@@ -4,7 +4,7 @@
 //! task with unusually much work does not make a machine slow. Speeds decide something only while machines differ by more
 //! than the tasks of one machine explain.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
 use slotmap::SecondaryMap;
@@ -72,6 +72,8 @@
     /// Logarithm of the share done in a millisecond.
     rate: f64,
     at_ms: u64,
+    /// Position in the order of reports.
+    order: u64,
 }
 
 /// The tasks of a step that are compared.
@@ -105,9 +107,11 @@
 #[derive(Debug, Default)]
 pub(crate) struct Speeds {
     machines: SecondaryMap<WorkerKey, Machine>,
-    steps: HashMap<GroupKey, Step>,
+    steps: BTreeMap<GroupKey, Step>,
+    /// Number of reports taken in.
+    reports: u64,
     /// What a predecessor knew of machines that were not listed yet, and what was known of those that are not listed now.
-    inherited: HashMap<String, f64>,
+    inherited: BTreeMap<String, f64>,
     /// Whether a predecessor has recorded speeds.
     is_restored: bool,
     refreshed_ms: u64,
@@ -165,6 +169,7 @@
                 self.steps.remove(&key);
             }
         }
+        self.reports += 1;
         let step = self.steps.entry(task.group).or_default();
         step.seen_ms = now_ms;
         let sibling = Sibling {
@@ -172,14 +177,16 @@
             worker,
             rate: (f64::from(percent) / took_ms as f64).ln(),
             at_ms: now_ms,
+            order: self.reports,
         };
         match step.siblings.iter_mut().find(|s| s.task == task) {
             Some(before) => *before = sibling,
             None => {
-                if step.siblings.len() >= MAX_SIBLINGS {
-                    step.siblings.remove(0);
+                let oldest = (0..step.siblings.len()).min_by_key(|i| step.siblings[*i].order);
+                match oldest.filter(|_| step.siblings.len() >= MAX_SIBLINGS) {
+                    Some(oldest) => step.siblings[oldest] = sibling,
+                    None => step.siblings.push(sibling),
                 }
-                step.siblings.push(sibling);
             }
         }
         step.fresh += 1;
