Judge work beside a leaving worker by learned run times

Cause: before a run's rate is observed, the decision about groups at risk took the caller's estimate, off by 3 to 40 times in the worst tenth, although the run times of its kind are learned. Change: it takes the learned median and the spread of its kind; the estimate, three times more or less, only before that.

--- a/crates/scheduler/src/leaving.rs
+++ b/crates/scheduler/src/leaving.rs
@@ -233,7 +233,7 @@
         if step.lasting && !is_unheard {
             return None;
         }
-        let remaining = self.estimate_remaining(&members, step.estimate_ms, now_ms);
+        let remaining = self.estimate_remaining(group, &members, now_ms);
         Some(AtRisk {
             cause,
             left_ms,
@@ -253,17 +253,18 @@
         }
     }
 
-    /// Returns how long tasks that end together still take: what their observed rates say, without these the caller's
-    /// estimate.
-    fn estimate_remaining(&self, members: &[TaskKey], estimate_ms: u64, now_ms: u64) -> Remaining {
+    /// Returns how long tasks of a group that end together still take: what their observed rates say, without these what
+    /// is expected of their kind of work.
+    fn estimate_remaining(&self, group: GroupKey, members: &[TaskKey], now_ms: u64) -> Remaining {
         let progress = || members.iter().map(|key| self.progress(*key, now_ms));
         let observed = progress()
             .filter_map(Remaining::observed)
             .reduce(Remaining::max);
         observed
             .or_else(|| {
+                let run_time = self.run_time(group);
                 progress()
-                    .map(|progress| Remaining::estimated(estimate_ms, progress))
+                    .map(|progress| Remaining::expected(run_time, progress))
                     .reduce(Remaining::max)
             })
             .unwrap_or(Remaining::UNKNOWN)
--- a/crates/scheduler/src/policy/departures.rs
+++ b/crates/scheduler/src/policy/departures.rs
@@ -6,6 +6,7 @@
 
 use std::collections::HashMap;
 
+use super::durations::RunTime;
 use crate::group::{GroupKey, TaskKey};
 
 /// Factor by which a caller's estimate may be wrong either way before nothing else is known: nine of ten of the
@@ -67,15 +68,23 @@
         is_observed: false,
     };
 
-    /// Returns what a caller's estimate says of the whole work, which takes no less than it has run already.
-    pub fn estimated(estimate_ms: u64, progress: Progress) -> Remaining {
+    /// Returns what is expected of the whole work, which takes no less than it has run already: as its kind is known to
+    /// vary or, before that was learned, as far off as a caller's estimate may be.
+    pub fn expected(run_time: RunTime, progress: Progress) -> Remaining {
         let left_percent = u64::from(100_u32.saturating_sub(progress.percent));
-        let whole_ms = estimate_ms.max(progress.ran_ms);
+        let whole_ms = run_time.median_ms.max(progress.ran_ms);
         let left_ms = whole_ms.saturating_mul(left_percent) / 100;
+        let (most, usual) = match run_time.observations {
+            0 => (ESTIMATE_FACTOR, 1),
+            _ => (
+                run_time.p90_ms.max(run_time.median_ms).max(1),
+                run_time.median_ms.max(1),
+            ),
+        };
         Remaining {
-            least_ms: left_ms / ESTIMATE_FACTOR,
+            least_ms: left_ms.saturating_mul(usual) / most,
             expected_ms: left_ms,
-            most_ms: left_ms.saturating_mul(ESTIMATE_FACTOR),
+            most_ms: left_ms.saturating_mul(most) / usual,
             is_observed: false,
         }
         .minus(progress.age_ms)
