Leave fast machines to urgent work

Cause: single tasks that can wait went to the fast machines first, where they ended the sooner, and urgent groups found these taken. Change: all work that can wait goes to usual machines first. place_singles_on_fast_first asserted the earlier decision; place_singles_on_usual_first takes its place and also asserts that no room is left unused.

--- a/crates/scheduler/src/learning.rs
+++ b/crates/scheduler/src/learning.rs
@@ -16,10 +16,8 @@
 pub(crate) enum UseOfSpeed {
     /// Urgent work goes to the fastest machines.
     Urgent,
-    /// A gang runs as fast as its slowest member: on fast machines it would wait for the others.
-    Gang,
-    /// Work that can wait: a single task ends the sooner, the faster its machine is.
-    Single,
+    /// Work that can wait leaves the fast machines to urgent work. A gang runs as fast as its slowest member in any case.
+    CanWait,
 }
 
 impl Planner {
@@ -230,10 +228,9 @@
 
     /// Returns what the speed of a machine matters for with a group.
     pub(crate) fn use_of_speed(&self, group: GroupKey) -> UseOfSpeed {
-        match (self.jobs[group.job].stored.priority, self.is_gang(group)) {
-            (0, _) => UseOfSpeed::Urgent,
-            (_, true) => UseOfSpeed::Gang,
-            (_, false) => UseOfSpeed::Single,
+        match self.jobs[group.job].stored.priority {
+            0 => UseOfSpeed::Urgent,
+            _ => UseOfSpeed::CanWait,
         }
     }
 
@@ -243,10 +240,8 @@
             return 0;
         }
         match (use_of_speed, self.policy.speeds.class(worker)) {
-            (UseOfSpeed::Urgent | UseOfSpeed::Single, SpeedClass::Fast)
-            | (UseOfSpeed::Gang, SpeedClass::Usual) => 0,
-            (UseOfSpeed::Urgent | UseOfSpeed::Single, SpeedClass::Usual)
-            | (UseOfSpeed::Gang, SpeedClass::Fast) => 1,
+            (UseOfSpeed::Urgent, SpeedClass::Fast) | (UseOfSpeed::CanWait, SpeedClass::Usual) => 0,
+            (UseOfSpeed::Urgent, SpeedClass::Usual) | (UseOfSpeed::CanWait, SpeedClass::Fast) => 1,
             (_, SpeedClass::Slow) => 2,
         }
     }
--- a/crates/scheduler/tests/speeds.rs
+++ b/crates/scheduler/tests/speeds.rs
@@ -90,11 +90,16 @@
     assert_eq!(places.len(), WORKERS as usize);
 }
 
+/// Single tasks that can wait leave fast machines to urgent work, and use them if there is no other room.
 #[rstest]
-fn place_singles_on_fast_first() {
+#[case::room_on_usual(4, 0)]
+#[case::room_on_all_only(WORKERS, 8)]
+fn place_singles_on_usual_first(#[case] count: u32, #[case] on_fast: usize) {
     let mut site = learned_site(2_700);
-    let places = site.try_placing(2, step(4, ALL_ACCELERATORS));
-    assert!(places.iter().all(|index| is_odd_one(*index)), "{places:?}");
+    let places = site.try_placing(2, step(count, ALL_ACCELERATORS));
+    assert_eq!(places.len(), count as usize);
+    let fast = places.iter().filter(|index| is_odd_one(**index)).count();
+    assert_eq!(fast, on_fast, "{places:?}");
 }
 
 #[rstest]
