Learn which work slows which other work down, and keep it apart where there is room

Cause: tasks on one worker share more than its room says, and placing looks at room alone. Change: policy/interference compares the rate of a run with that of the same run before its neighbours changed, for pairs of images or queues; known pairs rank workers after speed and before packing, and are never a condition.

--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -57,6 +57,10 @@
     StoreRetriesNotDone,
     /// Store calls retried because they were unanswered.
     StoreRetriesUnknown,
+    /// Choices of workers that keep work apart which is known to slow each other down.
+    KeptApart,
+    /// Pairs of work that are known to slow each other down, at this node's planner.
+    KnownInterference,
     /// Terms begun by this node as leader.
     LeadsTaken,
     /// Terms of this node as leader that ended.
--- a/crates/control/src/takeover.rs
+++ b/crates/control/src/takeover.rs
@@ -70,9 +70,8 @@
         let read = match item.key.as_str() {
             keys::SHARES => serde_json::from_slice(&item.value)
                 .map(|shares| planner.restore_shares(shares, now_ms())),
-            keys::LEARNED => {
-                serde_json::from_slice(&item.value).map(|learned| planner.restore_learned(learned))
-            }
+            keys::LEARNED => serde_json::from_slice(&item.value)
+                .map(|learned| planner.restore_learned(learned, now_ms())),
             _ => Ok(()),
         };
         if let Err(e) = read {
--- a/crates/control/src/term.rs
+++ b/crates/control/src/term.rs
@@ -110,6 +110,7 @@
         why = load_and_plan(&term, began_ms) => why,
     };
     term.cancellation.cancel();
+    term.node.metrics.set(Counter::KnownInterference, 0);
     tokio::spawn(hand_over(term));
     why
 }
@@ -283,12 +284,13 @@
 /// Logs decisions and updates the counters.
 fn report_decisions(term: &Term) {
     let node = &term.node;
-    let (decisions, counts, first_starts) = {
+    let (decisions, counts, first_starts, known_interference) = {
         let mut planner = term.lock_planner();
         (
             planner.take_decisions(),
             planner.counts(),
             planner.take_first_starts_ms(),
+            planner.known_interference() as u64,
         )
     };
     for decision in decisions {
@@ -339,6 +341,9 @@
         .set(Counter::EntriesSetAside, counts.entries_set_aside);
     node.metrics
         .set(Counter::WorkersRestarted, counts.restarted);
+    node.metrics.set(Counter::KeptApart, counts.kept_apart);
+    node.metrics
+        .set(Counter::KnownInterference, known_interference);
     node.metrics.set(Counter::TasksFailed, counts.failed);
     node.metrics.set(Counter::TasksBroken, counts.broken);
     node.metrics.set(Counter::TasksAlone, counts.alone);
--- a/crates/scheduler/src/counts.rs
+++ b/crates/scheduler/src/counts.rs
@@ -55,6 +55,8 @@
     pub gangs_alike: u64,
     /// Gangs placed on machines of different speeds while speeds decide, as there was no room on like ones.
     pub gangs_mixed: u64,
+    /// Choices of workers that interference has changed.
+    pub kept_apart: u64,
     /// Work discarded by preempted runs, in core-milliseconds.
     pub discarded_preempted_core_ms: u64,
     /// The same by runs of cancelled or failed jobs.
--- a/crates/scheduler/src/events.rs
+++ b/crates/scheduler/src/events.rs
@@ -151,6 +151,7 @@
         self.reconcile_running(key, report, first);
         self.check_still_runs(key, now_ms);
         self.set_pace(key, now_ms);
+        self.observe_neighbours(key, report);
     }
 
     /// Reconciles the runs that a worker lists with those that are assigned to it.
--- a/crates/scheduler/src/fit.rs
+++ b/crates/scheduler/src/fit.rs
@@ -20,6 +20,8 @@
     pub quarantined: bool,
     /// Whether the worker is away from the data of a group that may start anywhere.
     pub off_rack: bool,
+    /// By how many hundredths the group and what runs on the worker are known to slow each other down.
+    pub disturbance_percent: u32,
     /// Whether runs failed on the worker recently, or a task there may crash it; such workers are chosen last.
     pub recently_failed: bool,
     /// Order of preference by the speed of the machine, the least first; the same for all if it decides nothing.
@@ -42,15 +44,16 @@
     }
 
     /// Returns the sort key; the lowest is the best: a worker that is not quarantined, without recent failures, on
-    /// the rack of the data, on a machine of suitable speed, on the rack with the fewest free accelerators, with the least
-    /// free capacity left. This keeps whole racks free for gangs.
-    pub fn rank(&self, need: &Resources) -> (bool, bool, bool, u8, i64, i64, i64) {
+    /// the rack of the data, on a machine of suitable speed, where least is disturbed, on the rack with the fewest free
+    /// accelerators, with the least free capacity left. This keeps whole racks free for gangs.
+    pub fn rank(&self, need: &Resources) -> (bool, bool, bool, u8, u32, i64, i64, i64) {
         let left = self.free.minus(need);
         (
             self.quarantined,
             self.recently_failed,
             self.off_rack,
             self.speed_rank,
+            self.disturbance_percent,
             self.rack_free,
             left.accelerators,
             left.cpu_millis,
@@ -112,8 +115,8 @@
     })
 }
 
-/// Returns workers for all tasks on one rack; of several racks, the one with the fewest free accelerators. None if no
-/// rack fits all of them.
+/// Returns workers for all tasks on one rack; of several racks, the one where least is disturbed, then the one with the
+/// fewest free accelerators. None if no rack fits all of them.
 pub(crate) fn find_places_on_one_rack(
     candidates: &[Candidate],
     need: &Resources,
@@ -125,12 +128,22 @@
                 .iter()
                 .map(|candidate| candidate.free.accelerators.max(0))
                 .sum();
-            find_places(rack, need, count).map(|places| (free, places))
+            find_places(rack, need, count)
+                .map(|places| ((sum_disturbance(rack, &places), free), places))
         })
-        .min_by_key(|(free, _)| *free)
+        .min_by_key(|(cost, _)| *cost)
         .map(|(_, places)| places)
 }
 
+/// Returns by how many hundredths tasks on these places are known to be disturbed or to disturb, all of them together.
+fn sum_disturbance(rack: &[Candidate], places: &[WorkerKey]) -> u32 {
+    let disturbed = rack.iter().filter(|c| c.disturbance_percent > 0);
+    disturbed
+        .filter(|candidate| places.contains(&candidate.worker))
+        .map(|candidate| candidate.disturbance_percent)
+        .sum()
+}
+
 impl Planner {
     /// Returns whether a worker may get new work now.
     pub(crate) fn is_usable(&self, worker: &Worker, now_ms: u64) -> bool {
@@ -194,6 +207,7 @@
         let use_of_speed = self.use_of_speed(group);
         let data_rack = &self.jobs[group.job].step_of(group.group as usize).data_rack;
         let data_rack = data_rack.as_ref().map(|rack| self.racks.find(rack));
+        let disturbed = self.kind_if_disturbed(group);
         for (key, worker) in &self.workers {
             let is_held = self.is_held_by_suspect(worker);
             let is_trusted = worker.health.is_trusted(now_ms);
@@ -224,6 +238,8 @@
                 quarantined: !is_trusted,
                 off_rack: reach == Reach::Anywhere
                     && data_rack.is_some_and(|rack| rack != Some(worker.rack)),
+                disturbance_percent: disturbed
+                    .map_or(0, |kind| self.disturbance_percent(kind, worker)),
                 recently_failed: worker.health.has_recent_failure() || is_held,
                 speed_rank: self.speed_rank(use_of_speed, key),
                 empty: worker.is_empty(),
--- a/crates/scheduler/src/headroom.rs
+++ b/crates/scheduler/src/headroom.rs
@@ -92,6 +92,7 @@
                 rack_free: 0,
                 quarantined: false,
                 off_rack: false,
+                disturbance_percent: 0,
                 recently_failed: worker.health.has_recent_failure(),
                 speed_rank: self.speed_rank(UseOfSpeed::Urgent, key),
                 empty: worker.is_empty(),
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -21,6 +21,7 @@
 mod listing;
 mod lives;
 mod maintenance;
+mod neighbours;
 mod orders;
 mod outcomes;
 mod overdue;
@@ -56,7 +57,10 @@
 };
 pub use orders::{AdviceAnswer, Flush, Order, RecordWrite, StartOutcome, StopOutcome};
 pub use planner::{Decision, Limits, Planner};
-pub use policy::{DurationsRecord, LearnedRecord, PolicyRecord, SharesRecord, SpeedsRecord};
+pub use policy::{
+    DurationsRecord, InterferenceRecord, LearnedRecord, PairRecord, PolicyRecord, SharesRecord,
+    SpeedsRecord,
+};
 pub use record::{GroupRecord, JobRecord, RecordPart, StoredJob, StoredWorker, TaskRecord};
 pub use record_parts::join_record;
 pub use spec::{JobRequest, Resources, SpecError, StepSpec, Timing};
--- a/crates/scheduler/src/lives.rs
+++ b/crates/scheduler/src/lives.rs
@@ -234,6 +234,7 @@
                 _ => self.lose_task(task, why, now_ms),
             }
         }
+        self.policy.interference.forget_worker(key);
         if let Some(worker) = self.workers.remove(key) {
             self.policy.speeds.remove(key);
             if self.by_id.get(&worker.entry.id) == Some(&key) {
--- a/crates/scheduler/src/planner.rs
+++ b/crates/scheduler/src/planner.rs
@@ -199,8 +199,8 @@
     }
 
     /// Goes on with what earlier planners have learned about work and machines.
-    pub fn restore_learned(&mut self, record: LearnedRecord) {
-        self.policy.restore_learned(record);
+    pub fn restore_learned(&mut self, record: LearnedRecord, now_ms: u64) {
+        self.policy.restore_learned(record, now_ms);
     }
 
     /// Collects what has to be stored before dependent orders and confirmations may be sent. `unix_ms` is the end time
--- a/crates/scheduler/src/policy/memory.rs
+++ b/crates/scheduler/src/policy/memory.rs
@@ -7,6 +7,7 @@
 
 use super::Policy;
 use super::durations::DurationsRecord;
+use super::interference::InterferenceRecord;
 use super::shares::SharesRecord;
 use super::speeds::SpeedsRecord;
 
@@ -22,6 +23,8 @@
     pub durations: DurationsRecord,
     /// How fast machines are.
     pub speeds: SpeedsRecord,
+    /// Which work slows which other work down.
+    pub interference: InterferenceRecord,
 }
 
 /// A record of the parts that goes along with a write.
@@ -53,13 +56,15 @@
         let learned = LearnedRecord {
             durations: self.durations.record(),
             speeds: self.speeds.record(),
+            interference: self.interference.record_for_successor(now_ms),
         };
         (learned != LearnedRecord::default()).then_some(PolicyRecord::Learned(learned))
     }
 
     /// Goes on with what a predecessor has learned about work and machines.
-    pub fn restore_learned(&mut self, record: LearnedRecord) {
+    pub fn restore_learned(&mut self, record: LearnedRecord, now_ms: u64) {
         self.durations.restore(record.durations);
         self.speeds.restore(record.speeds);
+        self.interference.restore(record.interference, now_ms);
     }
 }
--- a/crates/scheduler/src/policy/mod.rs
+++ b/crates/scheduler/src/policy/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod departures;
 pub(crate) mod durations;
 pub(crate) mod failures;
+pub(crate) mod interference;
 pub(crate) mod machine;
 mod memory;
 pub(crate) mod shares;
@@ -15,6 +16,7 @@
 
 pub use durations::DurationsRecord;
 pub(crate) use failures::Health;
+pub use interference::{InterferenceRecord, PairRecord};
 pub use memory::{LearnedRecord, PolicyRecord};
 pub use shares::SharesRecord;
 pub use speeds::SpeedsRecord;
@@ -22,6 +24,7 @@
 use departures::Departures;
 use durations::Durations;
 use failures::Failures;
+use interference::Interference;
 use memory::Memory;
 use shares::Shares;
 use speeds::Speeds;
@@ -39,5 +42,7 @@
     pub failures: Failures,
     /// What was decided about work whose worker is expected to go.
     pub departures: Departures,
+    /// Which work slows which other work down.
+    pub interference: Interference,
     memory: Memory,
 }
--- a/crates/scheduler/src/schedule.rs
+++ b/crates/scheduler/src/schedule.rs
@@ -10,6 +10,7 @@
 use crate::group::{GroupKey, Phase, TaskKey};
 use crate::job::JobState;
 use crate::leaving::Kept;
+use crate::neighbours::without_interference;
 use crate::overdue::{IdleWork, Reach};
 use crate::planner::Planner;
 use crate::spec::Resources;
@@ -60,6 +61,7 @@
         self.decide_departures(kept, now_ms);
         self.refill_headroom(now_ms);
         self.report_idle_jobs(now_ms);
+        self.report_interference(now_ms);
     }
 
     /// Returns the candidates of a group, without the capacity that is withheld from it.
@@ -174,6 +176,10 @@
             !step.one_rack || may_leave_rack || count > self.max_tasks_on_one_rack(group);
         match find_gang_places(&candidates, &need, count, may_spread) {
             Some(places) => {
+                let unaware = without_interference(&candidates);
+                let unaware = unaware.map(|c| find_gang_places(&c, &need, count, may_spread));
+                self.counts.kept_apart +=
+                    u64::from(unaware.is_some_and(|other| other.as_ref() != Some(&places)));
                 let places: Vec<(u32, WorkerKey)> = (0..).zip(places).collect();
                 self.assign_group(group, &places, now_ms);
             }
@@ -264,6 +270,9 @@
             }
             return;
         }
+        let kept_apart = without_interference(&candidates).is_some_and(|unaware| {
+            find_best_candidate(&unaware, &need) != find_best_candidate(&candidates, &need)
+        });
         let mut places = self.place_suspects(group, &mut candidates, now_ms);
         let has_suspects = !places.is_empty();
         places.truncate(most);
@@ -297,6 +306,7 @@
             candidates[best].place(&need);
             places.push((index as u32, candidates[best].worker));
         }
+        self.counts.kept_apart += u64::from(kept_apart && !places.is_empty());
         self.assign_group(group, &places, now_ms);
     }
 
--- a/crates/scheduler/tests/durations.rs
+++ b/crates/scheduler/tests/durations.rs
@@ -204,7 +204,7 @@
     }
     let mut successor = Jobs::new();
     let learned = serde_json::from_value(stored).unwrap();
-    successor.site.harness.planner.restore_learned(learned);
+    successor.site.harness.planner.restore_learned(learned, 0);
     let times = successor.run("q", "o", 60, 2_000);
     match is_damaged {
         true => assert_eq!(times.learned, None),
--- a/crates/scheduler/tests/speeds.rs
+++ b/crates/scheduler/tests/speeds.rs
@@ -218,7 +218,8 @@
     let stored = serde_json::to_string(&learned).unwrap();
     let mut successor = SpeedSite::with_entries(Vec::new());
     let learned = serde_json::from_str(&stored).unwrap();
-    successor.harness.planner.restore_learned(learned);
+    let now_ms = successor.harness.now_ms;
+    successor.harness.planner.restore_learned(learned, now_ms);
     let mut site = successor.list((0..WORKERS).map(entry).collect());
     for count in [2, 6] {
         let places = site.try_placing(0, gang(count, ALL_ACCELERATORS));
@@ -242,7 +243,8 @@
 fn restore_damaged_record(#[case] stored: &str) {
     let learned = serde_json::from_str(stored).unwrap();
     let mut successor = SpeedSite::with_entries(Vec::new());
-    successor.harness.planner.restore_learned(learned);
+    let now_ms = successor.harness.now_ms;
+    successor.harness.planner.restore_learned(learned, now_ms);
     let mut site = successor.list((0..WORKERS).map(entry).collect());
     let mut blind = SpeedSite::new(WORKERS);
     for priority in [0, 1, 2] {
