--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -28,6 +28,7 @@
 mod orders;
 pub mod outage;
 mod peers;
+mod planner_counts;
 pub mod polling;
 mod record_writer;
 mod reply;
--- a/crates/control/src/term.rs
+++ b/crates/control/src/term.rs
@@ -16,6 +16,7 @@
 use crate::metrics::{Counter, Timing};
 use crate::node::{Node, ORDER_TIMEOUT_MS};
 use crate::orders::dispatch_orders;
+use crate::planner_counts::list_counts;
 use crate::record_writer::{LATER_TERM, RecordWriter, STEP_DOWN_AFTER_MS};
 use crate::request_watch::{follow_requests, poll_missed_jobs};
 use crate::takeover::{UNREAD_STATE, load_state};
@@ -308,64 +309,9 @@
     for took_ms in first_starts {
         node.metrics.record(Timing::FirstStart, took_ms);
     }
-    node.metrics.set(Counter::StartsRefused, counts.refused);
-    node.metrics.set(Counter::Preempted, counts.preempted);
-    for (counter, groups) in [
-        (Counter::PassedOverGuarantee, counts.passed_over_guarantee),
-        (Counter::PassedOverAged, counts.passed_over_aged),
-        (Counter::PassedOverShare, counts.passed_over_share),
-        (Counter::PassedOverSlack, counts.passed_over_slack),
-        (Counter::PassedOverWorthless, counts.passed_over_worthless),
-    ] {
-        node.metrics.set(counter, groups);
-    }
-    node.metrics
-        .set(Counter::StoppedBeforeLeave, counts.stopped_before_leave);
-    node.metrics
-        .set(Counter::MovedBeforeLeave, counts.moved_before_leave);
-    node.metrics
-        .set(Counter::StoppedWithoutHope, counts.stopped_without_hope);
-    node.metrics.set(Counter::KeptAtRisk, counts.kept_at_risk);
-    node.metrics.set(Counter::TasksLost, counts.lost);
-    node.metrics.set(Counter::JobsGivenUp, counts.given_up);
-    node.metrics
-        .set(Counter::QuarantinedInBurst, counts.quarantined_in_burst);
-    node.metrics
-        .set(Counter::AttemptsKept, counts.attempts_kept);
-    node.metrics.set(Counter::FailedByJob, counts.failed_by_job);
-    node.metrics.set(Counter::MovedStill, counts.moved_still);
-    node.metrics.set(Counter::StillKept, counts.still_kept);
-    node.metrics
-        .set(Counter::WorkersStill, counts.workers_still);
-    node.metrics
-        .set(Counter::EntriesSetAside, counts.entries_set_aside);
-    node.metrics
-        .set(Counter::WorkersRestarted, counts.restarted);
-    node.metrics.set(Counter::KeptApart, counts.kept_apart);
     node.metrics
         .set(Counter::KnownInterference, known_interference);
-    node.metrics.set(Counter::TasksFailed, counts.failed);
-    node.metrics.set(Counter::TasksBroken, counts.broken);
-    node.metrics.set(Counter::TasksAlone, counts.alone);
-    node.metrics
-        .set(Counter::MachinesFast, counts.machines_fast);
-    node.metrics
-        .set(Counter::MachinesSlow, counts.machines_slow);
-    node.metrics.set(Counter::GangsAlike, counts.gangs_alike);
-    node.metrics.set(Counter::GangsMixed, counts.gangs_mixed);
-    for (counter, core_ms) in [
-        (
-            Counter::WastedPreemptedCoreS,
-            counts.discarded_preempted_core_ms,
-        ),
-        (
-            Counter::WastedUnwantedCoreS,
-            counts.discarded_unwanted_core_ms,
-        ),
-        (Counter::WastedFailedCoreS, counts.discarded_failed_core_ms),
-        (Counter::WastedBrokenCoreS, counts.discarded_broken_core_ms),
-        (Counter::WastedLostCoreS, counts.discarded_lost_core_ms),
-    ] {
-        node.metrics.set(counter, core_ms / 1000);
+    for (counter, value) in list_counts(&counts) {
+        node.metrics.set(counter, value);
     }
 }
