--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -5,7 +5,7 @@
 use serde_json::{Value, json};
 
 use crate::record::{Event, Record};
-use crate::site::{MEMORY_MB, Site};
+use crate::site::{CALLER_TIMEOUT, LEAST_MEMORY_MB, Site, USUAL_MEMORY_MB};
 
 fn pause(ms: u64) {
     std::thread::sleep(Duration::from_millis(ms));
@@ -30,7 +30,7 @@
 
 /// TWICE: a worker is cut off for 5.5 s and runs on; more than 500 work units end on it meanwhile.
 pub fn many_ends(record: Record, trouble: bool) -> Vec<String> {
-    let site = Site::start(record, 3, 8);
+    let site = Site::start(record, 3, 8, USUAL_MEMORY_MB);
     let step = json!({"count": 100, "cpu": 100, "mem_mb": 100, "estimate_ms": 4_500});
     let body = job("work=4500 spread=6", step);
     let ids: Vec<String> = (1..=6).map(|n| format!("00000000000000a{n}")).collect();
@@ -79,7 +79,7 @@
 
 /// LOST: a job that lasts is shown as failed after its workers have crashed, though no work unit has ended `failed`.
 pub fn lasting_crashes(record: Record, trouble: bool) -> Vec<String> {
-    let site = Site::start(record, 3, 8);
+    let site = Site::start(record, 3, 8, USUAL_MEMORY_MB);
     let step = json!({"count": 1, "cpu": 8_000, "mem_mb": 4_096, "gpu": 1, "long_running": true});
     let id = "00000000000000b1";
     if !site.submit(id, &job("lasting=1", step)) {
@@ -123,7 +123,7 @@
 
 /// LOST: a gang of two, both of whose workers fail what they start, is shown as failed after one run of two attempts.
 pub fn gang_failures(record: Record, trouble: bool) -> Vec<String> {
-    let site = Site::start(record, 3, 24);
+    let site = Site::start(record, 3, 24, USUAL_MEMORY_MB);
     let step = json!({
         "count": 2, "cpu": 8_000, "mem_mb": 4_096, "gpu": 8, "gang": true, "same_rack": true, "estimate_ms": 2_000,
     });
@@ -165,7 +165,7 @@
 
 /// MIXED: the count of waiting jobs, while jobs are assigned to a worker that is lost for good.
 pub fn waiting_count(record: Record, trouble: bool) -> Vec<String> {
-    let site = Site::start(record, 3, 8);
+    let site = Site::start(record, 3, 8, USUAL_MEMORY_MB);
     let step = |count: u64| json!({"count": count, "cpu": 1_000, "mem_mb": 1_024, "gpu": 1, "estimate_ms": 40_000});
     if !site.submit("00000000000000d0", &job("work=40000", step(2))) {
         crate::cannot_run("the job was not accepted");
@@ -212,7 +212,7 @@
 
 /// LOST: a work unit that lasts, after its worker is lost for good.
 pub fn lasting_gone(record: Record, trouble: bool) -> Vec<String> {
-    let site = Site::start(record, 3, 8);
+    let site = Site::start(record, 3, 8, USUAL_MEMORY_MB);
     let step = json!({"count": 1, "cpu": 8_000, "mem_mb": 4_096, "gpu": 1, "long_running": true});
     let id = "00000000000000e1";
     if !site.submit(id, &job("lasting=1", step)) {
@@ -257,17 +257,17 @@
 
 /// Fault: large jobs that are due in an hour, handed in at once, bring every node over its machine's memory, in turn.
 pub fn large_jobs(record: Record, trouble: bool) -> Vec<String> {
-    let mut site = Site::start(record, 3, 8);
+    let mut site = Site::start(record, 3, 8, LEAST_MEMORY_MB);
     let unix_ms = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .map_or(0, |since| since.as_millis() as u64);
     let step = |count: u64| json!({"count": count, "cpu": 1_000, "mem_mb": 1_024, "gpu": 1, "estimate_ms": 60_000});
-    let mut body = job("work=60000", step(4_096));
+    let mut body = job("work=60000", step(3_000));
     body["times"] = json!(24);
     body["start_at_ms"] = json!(unix_ms + 3_600_000);
     body["interval_ms"] = json!(3_600_000);
     if trouble {
-        for number in 0..16 {
+        for number in 0..10 {
             site.submit(&format!("00000000000000f{number:x}"), &body);
         }
     }
@@ -284,7 +284,7 @@
         }
         for (node, kills) in kills.iter_mut().enumerate() {
             let memory_mb = site.memory_mb(node);
-            if memory_mb > MEMORY_MB {
+            if memory_mb > LEAST_MEMORY_MB {
                 *kills += 1;
                 let what = format!(
                     "has {memory_mb} MB, more than its machine, and is killed and started again"
@@ -312,3 +312,94 @@
         )],
     }
 }
+
+/// LOST: jobs of a queue with a policy, after workers were added.
+pub fn advice(record: Record, trouble: bool) -> Vec<String> {
+    let mut site = Site::start(record, 3, 20, USUAL_MEMORY_MB);
+    if trouble {
+        site.add_workers(5);
+        site.record.note("the site", "has 5 more workers");
+    }
+    pause(4_000);
+    let step = json!({"count": 1, "cpu": 1_000, "mem_mb": 1_024, "gpu": 1, "estimate_ms": 60_000});
+    let id = "00000000000000b7";
+    let (status, _) = site.call_queue(
+        "/a/",
+        0,
+        "POST",
+        id,
+        Some(&job("work=60000", step)),
+        CALLER_TIMEOUT,
+    );
+    if status != 200 {
+        crate::cannot_run("the job was not accepted");
+    }
+    // finish_s.
+    pause(14_000);
+    let idle_from_ms = site.record.now_ms();
+    let started = wait_until(20_000, || site.record.starts_of(id) > 0);
+    let idle_ms = site.record.now_ms() - idle_from_ms;
+    let (_, body) = site.call_queue("/a/", 0, "GET", id, None, CALLER_TIMEOUT);
+    site.record.note(
+        "the job",
+        &format!("has started: {started}; it is shown as {body}"),
+    );
+    match idle_ms > 3_000 {
+        true => vec![format!(
+            "14 s after its acceptance nothing of job {id} runs for {idle_ms} ms more, and all workers are idle"
+        )],
+        false => Vec::new(),
+    }
+}
+
+/// UNASKED: a job starts long after its cancel was answered with 410.
+pub fn late_accept(record: Record, trouble: bool) -> Vec<String> {
+    let site = Site::start(record, 3, 8, USUAL_MEMORY_MB);
+    let step = json!({"count": 1, "cpu": 1_000, "mem_mb": 1_024, "gpu": 1, "estimate_ms": 1_000});
+    let body = job("work=1000", step);
+    site.store.set_late(trouble);
+    let ids: Vec<String> = (0..30).map(|n| format!("0000000000000d{n:02}")).collect();
+    let threads: Vec<_> = ids.iter().enumerate().map(|(n, id)| (n % 3, id)).collect();
+    std::thread::scope(|scope| {
+        for (node, id) in &threads {
+            let (site, body) = (&site, &body);
+            scope.spawn(move || {
+                site.call_queue(
+                    "/q/",
+                    *node,
+                    "POST",
+                    id,
+                    Some(body),
+                    Duration::from_millis(300),
+                )
+            });
+            pause(20);
+        }
+    });
+    site.store.set_late(false);
+    pause(500);
+    let mut acknowledged = Vec::new();
+    for (node, id) in &threads {
+        let (status, _) = site.call(*node, "DELETE", id, None);
+        if status == 410 {
+            acknowledged.push(((*id).clone(), site.record.now_ms()));
+        }
+    }
+    pause(9_000);
+    let mut broken = Vec::new();
+    for (id, acknowledged_ms) in acknowledged {
+        for (at_ms, event) in site.record.events() {
+            // cancel_ms.
+            if let Event::Start { task, .. } = event
+                && task.starts_with(&id)
+                && at_ms > acknowledged_ms + 3_000
+            {
+                let late_ms = at_ms - acknowledged_ms;
+                broken.push(format!(
+                    "{task} starts {late_ms} ms after the cancel was answered with 410"
+                ));
+            }
+        }
+    }
+    broken
+}
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -49,6 +49,8 @@
         "waiting-count" => cases::waiting_count(record, trouble),
         "lasting-gone" => cases::lasting_gone(record, trouble),
         "large-jobs" => cases::large_jobs(record, trouble),
+        "advice" => cases::advice(record, trouble),
+        "late-accept" => cases::late_accept(record, trouble),
         _ => cannot_run("no such case"),
     }
 }
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -141,15 +142,25 @@
 pub struct Store {
     state: Mutex<State>,
     changed: Condvar,
+    /// Whether some of the writes are carried out late and not answered.
+    late: AtomicBool,
+    /// Counts writes while that is so.
+    writes: AtomicU64,
 }
 
+/// Of this many writes one is carried out late, while that is so.
+const ONE_LATE_OF: u64 = 3;
+
+/// How late, in turn.
+const LATE_MS: [u64; 5] = [5_800, 3_000, 4_900, 1_500, 5_400];
+
 impl Store {
     /// Starts the store; returns it and its address.
     pub fn start() -> (Arc<Store>, SocketAddr) {
         let store = Arc::new(Store::default());
         store.lock().revision = 1;
         let shared = store.clone();
-        let address = serve(Arc::new(move |request| shared.handle(&request)));
+        let address = serve(Arc::new(move |request| handle(&shared, request)));
         let shared = store.clone();
         std::thread::spawn(move || {
             loop {
@@ -174,10 +185,9 @@
         self.changed.notify_all();
     }
 
-    fn handle(&self, request: &Request) -> Answer {
-        let (status, body) = self.answer(request);
-        self.changed.notify_all();
-        Answer::Reply(status, body)
+    /// Lets a third of the writes be carried out late and not answered, from now on or no longer.
+    pub fn set_late(&self, late: bool) {
+        self.late.store(late, Ordering::SeqCst);
     }
 
     fn answer(&self, request: &Request) -> (u16, Value) {
@@ -302,3 +312,24 @@
     }
     text
 }
+
+fn handle(store: &Arc<Store>, request: Request) -> Answer {
+    if request.path == "/kv-txn" && store.late.load(Ordering::SeqCst) {
+        let write = store.writes.fetch_add(1, Ordering::SeqCst);
+        if write % ONE_LATE_OF == 0 {
+            let late_ms = LATE_MS[(write / ONE_LATE_OF) as usize % LATE_MS.len()];
+            let store = store.clone();
+            std::thread::spawn(move || {
+                std::thread::sleep(Duration::from_millis(late_ms));
+                store.answer(&request);
+                store.changed.notify_all();
+            });
+            // A channel on which an answer is lost returns nothing further.
+            std::thread::sleep(Duration::from_secs(10));
+            return Answer::Close;
+        }
+    }
+    let (status, body) = store.answer(&request);
+    store.changed.notify_all();
+    Answer::Reply(status, body)
+}
