--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -241,7 +241,7 @@
             .iter()
             .any(|worker| !worker.running().is_empty())
     };
-    let again = wait_until(20_000, || runs());
+    let again = wait_until(20_000, runs);
     let away_ms = site.record.now_ms() - lost_ms;
     site.record.note(
         "nothing ran",
--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -105,7 +105,7 @@
     Some(body)
 }
 
-fn read_request(reader: &mut (impl BufRead + Read)) -> Option<Request> {
+fn read_request(reader: &mut impl BufRead) -> Option<Request> {
     let (first, headers) = read_head(reader)?;
     let mut words = first.split(' ');
     let target = words.nth(1)?.to_string();
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -316,7 +316,7 @@
 fn handle(store: &Arc<Store>, request: Request) -> Answer {
     if request.path == "/kv-txn" && store.late.load(Ordering::SeqCst) {
         let write = store.writes.fetch_add(1, Ordering::SeqCst);
-        if write % ONE_LATE_OF == 0 {
+        if write.is_multiple_of(ONE_LATE_OF) {
             let late_ms = LATE_MS[(write / ONE_LATE_OF) as usize % LATE_MS.len()];
             let store = store.clone();
             std::thread::spawn(move || {
