--- a/review/standins-2/src/worker.rs
+++ b/review/standins-2/src/worker.rs
@@ -224,11 +224,14 @@
         self.record.note(&self.id, "starts again");
     }
 
-    /// Lets the worker fail all that it starts from now on.
+    /// Lets the worker fail all that it starts, or no longer.
     pub fn set_grey(&self, grey: bool) {
         self.lock().grey = grey;
-        self.record
-            .note(&self.id, "fails all that it starts from now on");
+        let what = match grey {
+            true => "fails all that it starts from now on",
+            false => "is sound again",
+        };
+        self.record.note(&self.id, what);
     }
 
     /// Returns the work units that run here.
