Count a failed run of a gang once, however many of its members fail

Cause: fail_task added one to the failed runs of the gang for each member whose end is `failed`. When two workers fail the members that they run at the same time, each member ends as `failed`, and the one run used up two attempts. The record held only the number, so a successor that heard of another member of a run that was counted before counted it again.

Why this works: a gang's run numbers rise, and an end of an earlier run does not reach the count. A run is counted if its number is above that of the last failed run, which is now stored beside the count, so that neither another member, nor a repeated answer, nor a successor counts it again. Parts of a large record are joined by the higher of both figures.

--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -58,7 +58,7 @@
         match ended.outcome {
             RunOutcome::Done if is_done_late => self.finish_late(key, now_ms),
             RunOutcome::Done => self.finish_task(key, now_ms),
-            outcome => self.fail_task(key, worker, outcome, &ended.progress, now_ms),
+            _ => self.fail_task(key, worker, ended, now_ms),
         }
     }
 
@@ -163,14 +163,8 @@
     }
 
     /// Handles a run that ended without success.
-    fn fail_task(
-        &mut self,
-        key: TaskKey,
-        worker: WorkerKey,
-        outcome: RunOutcome,
-        progress: &str,
-        now_ms: u64,
-    ) {
+    fn fail_task(&mut self, key: TaskKey, worker: WorkerKey, ended: &EndedRun, now_ms: u64) {
+        let (outcome, progress) = (ended.outcome, ended.progress.as_str());
         let gang = self.is_gang(key.group);
         if self.task(key).is_some_and(Task::is_done) {
             return self.release_task(key, Phase::Done, now_ms);
@@ -199,7 +193,9 @@
         self.release_task(key, Phase::Waiting, now_ms);
         if gang {
             let group = &mut self.jobs[key.group.job].groups[key.group.group as usize];
-            group.gang_failed += u32::from(outcome == RunOutcome::Failed);
+            if outcome == RunOutcome::Failed {
+                group.gang_failures.record(ended.run);
+            }
             if !progress.is_empty() {
                 group.progress = progress.to_string();
             }
--- a/crates/scheduler/src/failing.rs
+++ b/crates/scheduler/src/failing.rs
@@ -134,7 +134,7 @@
         Tried {
             job: job.stored.id,
             is_gang: step.gang,
-            failed: failed.max(state.gang_failed),
+            failed: failed.max(state.gang_failures.runs),
             attempts: job.stored.attempts.max(1),
             waited_ms: state.waited_ms(now_ms),
             goal_ms: job.stored.goal_ms,
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -175,14 +175,32 @@
     pub since_ms: u64,
 }
 
+/// The failed runs of a gang. A run counts once, however many of its members fail.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct GangFailures {
+    /// Number of failed runs.
+    pub runs: u32,
+    /// The latest of them; 0 for none. A gang's run numbers rise.
+    pub last_run: u32,
+}
+
+impl GangFailures {
+    /// Records that a member failed in a run.
+    pub fn record(&mut self, run: u32) {
+        if run > self.last_run {
+            self.runs = self.runs.saturating_add(1);
+            self.last_run = run;
+        }
+    }
+}
+
 /// The tasks of one step in one occurrence.
 #[derive(Debug)]
 pub(crate) struct Group {
     pub occurrence: u32,
     pub step: u32,
     pub tasks: Vec<Task>,
-    /// Number of failed runs of the gang.
-    pub gang_failed: u32,
+    pub gang_failures: GangFailures,
     /// When the teardown of the gang began; its members have to end before it can run again. None if it is not being
     /// torn down.
     pub teardown_since_ms: Option<u64>,
@@ -211,7 +229,7 @@
             occurrence,
             step,
             tasks: (0..spec.count).map(|_| Task::new(now_ms)).collect(),
-            gang_failed: 0,
+            gang_failures: GangFailures::default(),
             teardown_since_ms: None,
             placed_unix_ms: 0,
             progress: String::new(),
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -157,7 +157,7 @@
             .map(|t| t.failed)
             .max()
             .unwrap_or(0)
-            .max(group_state.gang_failed);
+            .max(group_state.gang_failures.runs);
         !self.step_of(group).lasting && failed >= attempts
     }
 
@@ -257,7 +257,8 @@
     GroupRecord {
         occurrence: group.occurrence,
         step: group.step,
-        gang_failed: group.gang_failed,
+        gang_failed: group.gang_failures.runs,
+        gang_failed_run: group.gang_failures.last_run,
         first: 0,
         placed_unix_ms: group.placed_unix_ms,
         units: tasks,
--- a/crates/scheduler/src/record.rs
+++ b/crates/scheduler/src/record.rs
@@ -65,6 +65,9 @@
     /// Number of failed runs of the gang.
     #[serde(default)]
     pub gang_failed: u32,
+    /// The latest failed run of the gang; 0 for none, or if an earlier version wrote the record.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub gang_failed_run: u32,
     /// Index of the first task; above 0 only in a part of a record.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub first: u32,
--- a/crates/scheduler/src/record_parts.rs
+++ b/crates/scheduler/src/record_parts.rs
@@ -120,6 +120,7 @@
     };
     let group = &mut groups[at];
     group.gang_failed = group.gang_failed.max(piece.gang_failed);
+    group.gang_failed_run = group.gang_failed_run.max(piece.gang_failed_run);
     group.placed_unix_ms = group.placed_unix_ms.max(piece.placed_unix_ms);
     let indexes = piece.first as usize..tasks;
     for (index, task) in indexes.zip(piece.units) {
--- a/crates/scheduler/src/restore.rs
+++ b/crates/scheduler/src/restore.rs
@@ -1,6 +1,6 @@
 //! Restores the jobs that an earlier planner left in the store.
 
-use crate::group::{Group, GroupKey, JobKey, Phase, TaskKey};
+use crate::group::{GangFailures, Group, GroupKey, JobKey, Phase, TaskKey};
 use crate::job::JobState;
 use crate::planner::Planner;
 use crate::record::{GroupRecord, JobRecord, StoredJob, StoredWorker};
@@ -85,7 +85,10 @@
             group: group_index as u32,
         };
         let gang = self.is_gang(group);
-        self.jobs[job].groups[group_index].gang_failed = record.gang_failed;
+        self.jobs[job].groups[group_index].gang_failures = GangFailures {
+            runs: record.gang_failed,
+            last_run: record.gang_failed_run,
+        };
         self.jobs[job].groups[group_index].placed_unix_ms = record.placed_unix_ms;
         for (index, task) in record
             .units
--- a/crates/scheduler/tests/idle_beside_quarantine.rs
+++ b/crates/scheduler/tests/idle_beside_quarantine.rs
@@ -153,6 +153,7 @@
             occurrence: 0,
             step: 0,
             gang_failed: 0,
+            gang_failed_run: 0,
             placed_unix_ms: 0,
             units: vec![task; count as usize],
         }],
