Lose a run only by an answer that lists all ends of its worker

Cause: reconcile_running took a run that an answer lists neither as running nor as ended for over. A worker lists 500 ends at a time, so the end may be cut off its list.

Only such an answer ends a run that it does not list, also one of an earlier planner, one that is being stopped, and a member of a gang that is done. The first answer of the next incarnation of a worker may be cut off, too: what may run there stays assigned until its lists are whole. Nothing waits for long: the ends listed are confirmed once stored, and the rest follows.

The list of a planner's first answer is no longer a special case: every answer that a planner gets is given under its term.

--- a/crates/scheduler/src/events.rs
+++ b/crates/scheduler/src/events.rs
@@ -120,8 +120,7 @@
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
-        let first = !worker.fenced;
-        if first {
+        if !worker.fenced {
             // An earlier planner may have granted a lease as long as this one would.
             worker.lease_end_clock_ms = worker
                 .lease_end_clock_ms
@@ -148,14 +147,14 @@
             self.changed = true;
             self.end_run(key, ended, now_ms);
         }
-        self.reconcile_running(key, report, first);
+        self.reconcile_running(key, report);
         self.check_still_runs(key, now_ms);
         self.set_pace(key, now_ms);
         self.observe_neighbours(key, report);
     }
 
     /// Reconciles the runs that a worker lists with those that are assigned to it.
-    fn reconcile_running(&mut self, key: WorkerKey, report: &RenewalReport, first: bool) {
+    fn reconcile_running(&mut self, key: WorkerKey, report: &RenewalReport) {
         let now_ms = report.received_ms;
         let mut listed = HashSet::new();
         let mut orphaned_runs = HashSet::new();
@@ -179,13 +178,25 @@
             }
         }
         self.stop_orphaned_runs(key, &orphaned_runs);
+        if report.ends_complete {
+            self.lose_unlisted_runs(key, report, &listed);
+        }
+    }
+
+    /// Treats the runs that are assigned to a worker as lost if it lists them neither as running nor as ended.
+    fn lose_unlisted_runs(
+        &mut self,
+        key: WorkerKey,
+        report: &RenewalReport,
+        listed: &HashSet<TaskKey>,
+    ) {
         let here: Vec<TaskKey> = self
             .workers
             .get(key)
             .map_or_else(Vec::new, |w| w.tasks.keys().copied().collect());
         for task in here.into_iter().filter(|task| !listed.contains(task)) {
             let over = match self.task(task).map(|t| t.phase) {
-                Some(Phase::Inherited(_)) => first,
+                Some(Phase::Inherited(_)) => true,
                 Some(Phase::Running { confirmed_ms, .. }) => report.sent_ms > confirmed_ms,
                 Some(Phase::Stopping {
                     confirmed_ms: Some(confirmed_ms),
@@ -195,7 +206,7 @@
                 _ => false,
             };
             if over {
-                self.lose_task(task, "its worker does not list it", now_ms);
+                self.lose_task(task, "its worker does not list it", report.received_ms);
             }
         }
     }
--- a/crates/scheduler/src/lives.rs
+++ b/crates/scheduler/src/lives.rs
@@ -180,7 +180,11 @@
         if named.contains(&(name, task.run)) {
             return true;
         }
+        // Its end may be among those that are not listed yet. A start in doubt has to be stopped there in any case.
+        let may_have_ended = !report.ends_complete && !task.is_listed && !task.start_in_doubt;
         match task.phase {
+            Phase::Assigned(_) => false,
+            _ if may_have_ended => true,
             Phase::Starting { unanswered, .. } => !unanswered,
             Phase::Running { confirmed_ms, .. } => {
                 !task.is_listed && report.sent_ms <= confirmed_ms
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -154,6 +154,8 @@
     pub running: Vec<ActiveRun>,
     /// Ended runs that are not confirmed yet.
     pub ended: Vec<EndedRun>,
+    /// Whether these are all of them; a worker lists a limited number at a time.
+    pub ends_complete: bool,
 }
 
 /// Lower bound of the speed of a worker's lease clock, in hundredths of true time (2% slow).
--- a/crates/scheduler/tests/support/crash_site.rs
+++ b/crates/scheduler/tests/support/crash_site.rs
@@ -317,6 +317,7 @@
             born_unix_ms: Some(1_000 + worker.crashes),
             running: worker.runs.iter().map(|run| run.active.clone()).collect(),
             ended: worker.ended.clone(),
+            ends_complete: true,
         };
         self.harness.planner.apply_report(worker.key, &report);
     }
--- a/crates/scheduler/tests/support/live_worker.rs
+++ b/crates/scheduler/tests/support/live_worker.rs
@@ -13,6 +13,9 @@
 /// The longest lease that a worker grants, on its own clock.
 const LONGEST_LEASE_MS: u64 = 10_000;
 
+/// The most ended runs that a worker lists at a time.
+const MAX_LISTED_ENDS: usize = 500;
+
 /// What a worker's clock shows at the start of an incarnation.
 const FIRST_CLOCK_MS: u64 = 1_000;
 
@@ -29,6 +32,8 @@
     pub running: Vec<ActiveRun>,
     pub ended: Vec<EndedRun>,
     pub last_end: u64,
+    /// The most ended runs that it lists at a time.
+    pub max_listed_ends: usize,
     /// When its incarnation began, on the planner's clock.
     began_ms: u64,
     pub lease_end_clock_ms: u64,
@@ -48,6 +53,7 @@
             running: Vec::new(),
             ended: Vec::new(),
             last_end: 0,
+            max_listed_ends: MAX_LISTED_ENDS,
             began_ms: now_ms,
             lease_end_clock_ms: 0,
             ended_runs: HashMap::new(),
@@ -138,13 +144,15 @@
 
     /// Returns its answer to a renewal.
     pub fn report(&self, sent_ms: u64, received_ms: u64) -> RenewalReport {
+        let listed = self.ended.iter().take(self.max_listed_ends);
         RenewalReport {
             sent_ms,
             received_ms,
             worker_clock_ms: self.clock_ms(received_ms),
             born_unix_ms: Some(self.born_unix_ms),
             running: self.running.clone(),
-            ended: self.ended.clone(),
+            ended: listed.cloned().collect(),
+            ends_complete: self.ended.len() < self.max_listed_ends,
         }
     }
 }
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -136,6 +136,7 @@
             born_unix_ms: None,
             running,
             ended,
+            ends_complete: true,
         };
         self.planner.apply_report(self.workers[index], &report);
     }
@@ -155,6 +156,7 @@
             born_unix_ms: Some(born_unix_ms),
             running,
             ended,
+            ends_complete: true,
         };
         self.planner.apply_report(self.workers[index], &report);
     }
