Soak gangs whose members fail together, and check that a job fails only for as many failed runs

Reproduced: the soak had no gang that fails. In four of ten plays a third of the workers now fail what they start, twice for 1 to 4 s, with gangs of two to six under way, some of which also fail by their own fault; members hear of each other's end after 20 ms. The draws of a seed stay as they were beside that. A new check says that a job is shown as failed only after as many failed runs as the queue allows, a gang's run counting once, and another that nothing starts after that.

soak_keeps_gang_whose_members_fail_together fails in both cases with the old count.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -75,6 +75,23 @@
     assert_kept(seed, &options).await;
 }
 
+/// Guards against LOST: several members of a gang fail in one run, each uses up an attempt, and the job is shown as failed.
+#[rstest]
+#[case::planner_stays(2, &[FaultKind::WorkersFail])]
+#[case::planner_changes(13, &[FaultKind::WorkersFail, FaultKind::NodeKilled])]
+#[tokio::test(flavor = "multi_thread")]
+async fn soak_keeps_gang_whose_members_fail_together(
+    #[case] seed: u64,
+    #[case] kinds: &[FaultKind],
+) {
+    let options = PlayOptions {
+        faults_ms: 8_000,
+        mean_gap_ms: 8_000,
+        ..options(kinds)
+    };
+    assert_kept(seed, &options).await;
+}
+
 async fn assert_holds(seed: u64, kinds: &[FaultKind]) {
     assert_kept(seed, &options(kinds)).await;
 }
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -55,7 +55,7 @@
 /// A run as its worker saw it.
 #[derive(Debug, Clone)]
 pub(crate) struct Run {
-    run: u64,
+    pub(crate) run: u64,
     pub(crate) worker: String,
     incarnation: u64,
     late: bool,
@@ -73,7 +73,16 @@
 
     /// Returns whether it has ended as done by `at_ms`.
     pub(crate) fn is_done_by(&self, at_ms: u64) -> bool {
-        self.ended_ms <= at_ms && self.end.as_ref().is_some_and(|(_, how)| how == "done")
+        self.ended_ms <= at_ms && self.has_ended("done")
+    }
+
+    /// Returns whether its end was listed as failed.
+    pub(crate) fn has_failed(&self) -> bool {
+        self.has_ended("failed")
+    }
+
+    fn has_ended(&self, how: &str) -> bool {
+        self.end.as_ref().is_some_and(|(_, known)| known == how)
     }
 }
 
@@ -184,6 +193,7 @@
         self.check_idle(&runs, &mut broken);
         self.check_leaving(&runs, &mut broken);
         self.check_gangs(&runs, &mut broken);
+        self.check_attempts(&runs, &mut broken);
         self.check_configuration(&mut broken);
         broken.extend(self.own_ends.iter().map(|line| Broken {
             promise: "no process ends by itself",
@@ -194,7 +204,10 @@
     }
 
     /// Returns whether the end of a run was confirmed before the lease of its worker ended.
-    fn was_confirmed(&self, run: &Run, number: u64) -> bool {
+    pub(crate) fn was_confirmed(&self, run: &Run) -> bool {
+        let Some((number, _)) = run.end else {
+            return false;
+        };
         self.notes
             .iter()
             .filter(|note| note.worker == run.worker && note.incarnation == run.incarnation)
@@ -229,9 +242,7 @@
             let job = task.split('.').next().unwrap_or_default();
             let shown_ms = self.shown_completed_ms(job);
             for (at, first) in runs.iter().enumerate() {
-                let confirmed = first.end.as_ref().is_some_and(|(number, how)| {
-                    how == "done" && self.was_confirmed(first, *number)
-                });
+                let confirmed = first.has_ended("done") && self.was_confirmed(first);
                 for second in &runs[at + 1..] {
                     let until_ms = first.ended_ms.min(second.ended_ms);
                     if until_ms >= second.began_ms + OVERLAP_MS {
@@ -294,7 +305,7 @@
             if let Some(accepted_ms) = accepted_ms
                 && cancelled.is_none()
             {
-                self.check_kept(job, &calls, accepted_ms, &mut add);
+                self.check_kept(job, &calls, accepted_ms, runs, &mut add);
             }
             let acknowledged = calls.iter().find(|call| {
                 call.asked == Asked::Cancel && matches!(call.reply, Reply::Accepted(_))
@@ -313,12 +324,13 @@
         }
     }
 
-    /// Checks that an accepted job, which nobody cancelled, was kept and completed.
+    /// Checks that an accepted job, which nobody cancelled, was kept and completed, or has failed as often as it may.
     fn check_kept(
         &self,
         job: &str,
         calls: &[&CallRecord],
         accepted_ms: u64,
+        runs: &BTreeMap<String, Vec<Run>>,
         add: &mut impl FnMut(&'static str, String),
     ) {
         let promise = "no accepted job is lost";
@@ -336,11 +348,18 @@
             Reply::Accepted(state) if call.asked == Asked::State => Some(state.as_str()),
             _ => None,
         });
-        if last != Some("completed") {
-            let detail = format!("it is shown as {:?} at the end", last.unwrap_or_default());
+        let has_ended = match last {
+            Some("completed") => true,
+            Some("failed") => self.has_used_up_attempts(job, runs),
+            _ => false,
+        };
+        if !has_ended {
+            let failed_runs = self.count_failed_runs(job, runs);
+            let last = last.unwrap_or_default();
+            let detail =
+                format!("it is shown as {last:?} at the end, {failed_runs} runs have failed");
             add(promise, detail);
         }
-        let _ = job;
     }
 
     fn check_leaving(&self, runs: &BTreeMap<String, Vec<Run>>, broken: &mut Vec<Broken>) {
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -21,6 +21,9 @@
 /// Runs of a worker that leave it room for another job.
 const ROOMY_RUNS: usize = 5;
 
+/// One in this many workers fails what it starts.
+const FAILING_SHARE: usize = 3;
+
 /// How long a node has to end after SIGTERM.
 const STOP_LIMIT: Duration = Duration::from_secs(6);
 
@@ -41,6 +44,7 @@
         | FaultKind::StoreLosesAnswers
         | FaultKind::StoreLate
         | FaultKind::StoreSilent => harm_store(&site, &fault).await,
+        FaultKind::WorkersFail => Ok(let_workers_fail(&site, &fault).await),
         FaultKind::Configuration => Ok(operator.change(&site, false).await),
         FaultKind::KeyWithdrawn => Ok(operator.change(&site, true).await),
         _ => harm_worker(&site, &fault).await,
@@ -82,6 +86,29 @@
         .unwrap_or(drawn)
 }
 
+/// Lets what some of the workers start meanwhile fail.
+async fn let_workers_fail(site: &Site, fault: &Fault) -> String {
+    let count = site.workers.len();
+    let failing = (count / FAILING_SHARE).max(2);
+    let first = fault.pick as usize % count;
+    let places: Vec<&Place> = (0..failing)
+        .map(|more| &site.workers[(first + more) % count])
+        .collect();
+    let ids: Vec<String> = places.iter().map(|place| lock(&place.id).clone()).collect();
+    let ids = ids.join(" ");
+    note_begin(site, fault, &ids);
+    for failing in [true, false] {
+        for place in &places {
+            let order = json!({"failing": failing});
+            site.control(place.control, "fail", &order).await;
+        }
+        if failing {
+            sleep(Duration::from_millis(fault.for_ms)).await;
+        }
+    }
+    ids
+}
+
 async fn harm_worker(site: &Arc<Site>, fault: &Fault) -> std::io::Result<String> {
     let at = choose_worker(site, fault.pick);
     let place = &site.workers[at];
--- a/crates/soak/src/idle.rs
+++ b/crates/soak/src/idle.rs
@@ -51,7 +51,7 @@
             .map(|at_ms| (at_ms, self.room(runs, at_ms)))
             .collect();
         for (job, steps) in &self.steps {
-            if !self.is_owed(job) {
+            if !self.is_owed(job) || self.has_used_up_attempts(job, runs) {
                 continue;
             }
             let mut idle: Option<(u64, String)> = None;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -1,8 +1,10 @@
 //! A soak of the real programs: plays sites of separate processes on loopback under faults drawn from a seed, and checks
 //! the promises by what callers, workers and the store saw.
 
+mod attempts;
 mod callers;
 mod check;
+mod failures;
 mod faults;
 mod idle;
 mod link;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -6,6 +6,7 @@
 use rand_pcg::Pcg64;
 use strum::{Display, EnumIter, EnumString, IntoEnumIterator};
 
+use crate::failures::draw_failures;
 use crate::outages::draw_outages;
 
 /// Most kinds of fault in one play, so that plays differ more than if each had all kinds.
@@ -26,6 +27,9 @@
 /// Number of the random sequence from which outages are drawn, so that they leave the other draws of a seed as they are.
 const OUTAGES_SEQUENCE: u64 = 1;
 
+/// The same for times in which workers fail.
+const FAILURES_SEQUENCE: u64 = 2;
+
 /// Probability that a burst goes on after a job.
 const BURST_GOES_ON: f64 = 0.75;
 
@@ -99,6 +103,8 @@
     WorkerLeavesForGood,
     /// A worker's machine loses power, and nothing is at its address later.
     WorkerLostForGood,
+    /// Several workers fail what they start.
+    WorkersFail,
 }
 
 impl FaultKind {
@@ -178,10 +184,16 @@
 
 impl Plan {
     /// Draws the plan of a seed: faults of some of `kinds` for `faults_ms`, and jobs for as long; in some plays also
-    /// outages of the store during which workers go away.
+    /// outages of the store during which workers go away, and times in which workers fail.
     pub fn draw(seed: u64, kinds: &[FaultKind], faults_ms: u64, mean_gap_ms: u64) -> Plan {
         let mut random = Pcg64::seed_from_u64(seed);
-        let drawn: Vec<FaultKind> = kinds.sample(&mut random, KINDS_PER_PLAY).copied().collect();
+        let single: Vec<FaultKind> = kinds
+            .iter()
+            .copied()
+            .filter(|kind| *kind != FaultKind::WorkersFail)
+            .collect();
+        let drawn = single.sample(&mut random, KINDS_PER_PLAY);
+        let drawn: Vec<FaultKind> = drawn.copied().collect();
         let mut faults = Vec::new();
         let mut at_ms = LEAD_IN_MS;
         while at_ms < faults_ms {
@@ -199,11 +211,14 @@
                 false => random.random_range(0..=BURST_GAP_MS),
             };
         }
-        let mut random = Pcg64::new(u128::from(seed), u128::from(OUTAGES_SEQUENCE));
-        let (outages, jobs_meanwhile) = draw_outages(&mut random, kinds, faults_ms);
-        faults.extend(outages);
+        let sequence = |number: u64| Pcg64::new(u128::from(seed), u128::from(number));
+        let outages = draw_outages(&mut sequence(OUTAGES_SEQUENCE), kinds, faults_ms);
+        let failures = draw_failures(&mut sequence(FAILURES_SEQUENCE), kinds, faults_ms);
+        for (more_faults, more_jobs) in [outages, failures] {
+            faults.extend(more_faults);
+            jobs.extend(more_jobs);
+        }
         faults.sort_by_key(|fault| fault.at_ms);
-        jobs.extend(jobs_meanwhile);
         jobs.sort_by_key(|job| job.at_ms);
         Plan { seed, faults, jobs }
     }
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -1,6 +1,6 @@
 //! The checker finds what it is meant to find, and nothing in what is allowed.
 
-use platform_standin::{Note, Reply, WorkerEvent};
+use platform_standin::{Note, Reply, StepSpec, WorkerEvent};
 use rstest::rstest;
 use soak::{Asked, CallRecord, Confirmed, Incident, Observed};
 
@@ -169,3 +169,70 @@
     };
     assert_eq!(promises(&observed), expected);
 }
+
+/// Returns the notes of the members of one run of a gang, each on a worker of its own, that end like this.
+fn gang_run(run: u64, ends: &[&str]) -> Vec<Note> {
+    let member = |index: usize, how: &str| {
+        let (at_ms, worker) = (100 * run, format!("w-{index}-{run}"));
+        let task = format!("{JOB}.0.0.{index}");
+        let begin = WorkerEvent::Start {
+            task: task.clone(),
+            run,
+            term: 1,
+            late: false,
+        };
+        let end = WorkerEvent::End {
+            task,
+            run,
+            number: 1,
+            how: how.to_string(),
+        };
+        [
+            note(at_ms, &worker, begin),
+            note(at_ms + 50, &worker, end),
+            confirmed(at_ms + 60, &worker),
+        ]
+    };
+    let ends = ends.iter().enumerate();
+    ends.flat_map(|(index, how)| member(index, how)).collect()
+}
+
+const LOST: &str = "no accepted job is lost";
+const AFTER_ATTEMPTS: &str = "no task starts after its attempts are used up";
+
+/// The queue allows four failed runs.
+#[rstest]
+#[case::one_run_of_a_gang(true, vec![vec!["failed"; 4]], &[LOST])]
+#[case::three_runs_of_a_gang(true, vec![vec!["failed"; 2]; 3], &[LOST])]
+#[case::four_runs_of_a_gang(true, vec![vec!["failed", "broken"]; 4], &[])]
+#[case::different_members_of_a_gang(
+    true, vec![vec!["failed", "broken"], vec!["broken", "failed"], vec!["failed", "broken"], vec!["broken", "failed"]], &[])]
+#[case::three_runs_of_a_task(false, vec![vec!["failed"]; 3], &[LOST])]
+#[case::four_runs_of_a_task(false, vec![vec!["failed"]; 4], &[])]
+#[case::one_run_of_four_tasks(false, vec![vec!["failed"; 4]], &[LOST])]
+#[case::ends_that_are_not_failures(false, vec![vec!["lapsed"]; 4], &[LOST])]
+#[case::fifth_run_of_a_task(false, vec![vec!["failed"]; 5], &[AFTER_ATTEMPTS])]
+fn check_job_that_is_shown_as_failed(
+    #[case] gang: bool,
+    #[case] runs: Vec<Vec<&str>>,
+    #[case] expected: &[&str],
+) {
+    let step = StepSpec {
+        count: runs[0].len() as u64,
+        run_ms: 1_000,
+        gang,
+        failing_runs: 0,
+    };
+    let notes = (1..).zip(&runs).flat_map(|(run, ends)| gang_run(run, ends));
+    let observed = Observed {
+        notes: notes.collect(),
+        calls: vec![
+            call(0, Asked::Submit, accepted("")),
+            call(900, Asked::State, accepted("failed")),
+        ],
+        steps: [(JOB.to_string(), vec![step])].into(),
+        end_ms: 1_000,
+        ..Observed::default()
+    };
+    assert_eq!(promises(&observed), expected);
+}
--- a/crates/soak/tests/plan.rs
+++ b/crates/soak/tests/plan.rs
@@ -64,3 +64,33 @@
     let fails = |steps: &[StepSpec]| steps.len() == 2 && steps.iter().all(|s| s.failing_runs == 2);
     assert!(jobs.iter().any(|job| fails(&job.steps)));
 }
+
+/// Guards against gangs whose members never fail together, and against plans that change with the kinds drawn apart.
+#[test]
+fn draw_failing_workers_beside_gangs_in_some_plans() {
+    let all = FaultKind::all();
+    let others: Vec<FaultKind> = all
+        .iter()
+        .copied()
+        .filter(|kind| *kind != FaultKind::WorkersFail)
+        .collect();
+    let mut with_failures = 0;
+    for seed in 0..100 {
+        let plan = Plan::draw(seed, &all, 20_000, 1_000);
+        let without = Plan::draw(seed, &others, 20_000, 1_000);
+        let is_failure = |fault: &soak::Fault| fault.kind == FaultKind::WorkersFail;
+        assert!(
+            without
+                .faults
+                .iter()
+                .all(|fault| plan.faults.contains(fault))
+        );
+        assert!(without.jobs.iter().all(|job| plan.jobs.contains(job)));
+        if plan.faults.iter().any(is_failure) {
+            with_failures += 1;
+            let gangs = plan.jobs.iter().filter(|job| job.steps[0].gang);
+            assert!(gangs.count() >= 8, "seed {seed}");
+        }
+    }
+    assert!((20..=60).contains(&with_failures), "{with_failures}");
+}
