Do not give up lasting tasks after crashes of their workers

Cause: give_up_if_crashing counts lost workers in place of the ends that a crashed worker cannot list, whatever the step.

Why this works: the limit no longer applies to lasting steps, in a running planner and when a successor reads the counts. They stay suspect, so that they start on a worker on which nothing runs. A stop of one does not count as a wasted start any more.

--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -1,5 +1,5 @@
 //! Counts the workers that crash under a task, keeps a task that may be the cause away from others, and gives up a task
-//! that crashes one worker after the other.
+//! that crashes one worker after the other, unless it lasts until its job is cancelled.
 //!
 //! A crashed worker reports no ends. All that it ran is suspect, most of all what it had just started.
 
@@ -135,11 +135,15 @@
         }
     }
 
-    /// Fails a job with a task in this group that has crashed too many workers.
+    /// Fails a job with a task in this group that has crashed too many workers. A lasting task starts again however often
+    /// its workers crash.
     pub(crate) fn give_up_if_crashing(&mut self, group: GroupKey, now_ms: u64) {
         let Some(job) = self.jobs.get(group.job) else {
             return;
         };
+        if job.step_of(group.group as usize).lasting {
+            return;
+        }
         let tasks = &job.groups[group.group as usize].tasks;
         let cause = (0..).zip(tasks).find(|(_, t)| t.crashes.is_used_up());
         let Some((index, task)) = cause.filter(|_| !job.state.is_final()) else {
@@ -200,11 +204,13 @@
 
     /// Returns whether a stop of a task, or of its gang, would waste one of the few starts that it has left.
     pub(crate) fn has_few_starts_left(&self, key: TaskKey) -> bool {
-        let gang = self.is_gang(key.group);
-        let tasks = &self.jobs[key.group.job].groups[key.group.group as usize].tasks;
-        (0..)
-            .zip(tasks)
-            .any(|(index, task)| (gang || index == key.index) && task.crashes.is_nearly_used_up())
+        let job = &self.jobs[key.group.job];
+        let step = job.step_of(key.group.group as usize);
+        let tasks = &job.groups[key.group.group as usize].tasks;
+        !step.lasting
+            && (0..).zip(tasks).any(|(index, task)| {
+                (step.gang || index == key.index) && task.crashes.is_nearly_used_up()
+            })
     }
 
     /// Returns whether a task, or its gang, may have crashed a worker.
