Give queries to the advice service as long as their figures say

Cause: a query was given up after 5 s and named up to 30 workers, whatever figures the queue has. With 500 ms and 200 ms a worker, one about 25 workers takes 5.5 s. It was repeated alike, for ever.

If there is no answer all the same, the next one names half as many, down to one, so that a service slower than its figures is answered in the end.

--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use control::{Listeners, Log, Settings};
-use platform_standin::{Audit, MachinesStandIn, StoreStandIn, WorkerStandIn};
+use platform_standin::{AdviceStandIn, Audit, MachinesStandIn, StoreStandIn, WorkerStandIn};
 use reqwest::{Client, Response};
 use serde_json::{Value, json};
 use tokio::sync::oneshot;
@@ -65,6 +65,8 @@
     pub client: Client,
     /// The service of machines, if the site has one.
     pub machines: Option<MachinesStandIn>,
+    /// The advice service of nodes that start from now on, if there is one.
+    pub advice: Option<AdviceStandIn>,
     /// How many writes per second the store takes, by the settings of nodes that start from now on; 0 if unknown.
     pub writes_per_s: u64,
 }
@@ -103,6 +105,7 @@
             nodes: Vec::new(),
             client: Client::new(),
             machines: None,
+            advice: None,
             writes_per_s: 0,
         };
         for _ in 0..workers {
@@ -164,6 +167,7 @@
             "store": {"address": store, "shortest_lease_ms": 100, "writes_per_s": self.writes_per_s},
             "orders": "rpc",
             "machines": self.machines.as_ref().map(MachinesStandIn::address),
+            "advice": self.advice.as_ref().map(AdviceStandIn::address),
         });
         let settings = Settings::parse("test", &text.to_string()).unwrap();
         let (kill, killed) = oneshot::channel();
--- a/crates/scheduler/src/advice.rs
+++ b/crates/scheduler/src/advice.rs
@@ -2,7 +2,9 @@
 
 use std::collections::HashMap;
 
+use crate::configuration::Advice;
 use crate::group::{GroupKey, Phase};
+use crate::job::Job;
 use crate::orders::{AdviceAnswer, Order};
 use crate::overdue::Reach;
 use crate::planner::Planner;
@@ -11,6 +13,10 @@
 /// The most workers in one query; the objective for the time of a step counts one query on this many.
 const MAX_WORKERS_PER_QUERY: usize = 30;
 
+/// The longest query about several workers, unless the decision alone takes half of it: a job may have nothing running for
+/// 14 s, and the first workers may all be forbidden.
+const MAX_QUERY_MS: u64 = 5_000;
+
 /// A ticket that expires sooner than this is not used, since the assignment has to be stored and sent first.
 const TICKET_MARGIN_MS: u64 = 250;
 
@@ -34,6 +40,8 @@
     verdicts: HashMap<WorkerKey, Verdict>,
     in_flight: bool,
     not_before_ms: u64,
+    /// Queries in a row that got no answer.
+    unanswered: u32,
 }
 
 impl Tickets {
@@ -58,7 +66,30 @@
     }
 }
 
+/// Returns the most workers in the next query. After one without an answer it is half as many, since the service may be
+/// slower than its figures say.
+fn most_workers(advice: &Advice, unanswered: u32) -> usize {
+    let left_ms = MAX_QUERY_MS
+        .saturating_sub(advice.decide_ms)
+        .max(advice.decide_ms);
+    let in_time = left_ms.checked_div(advice.each_worker_ms);
+    let most = in_time
+        .and_then(|count| usize::try_from(count).ok())
+        .map_or(MAX_WORKERS_PER_QUERY, |count| {
+            count.min(MAX_WORKERS_PER_QUERY)
+        });
+    let halved = most.checked_shr(unanswered).unwrap_or(0);
+    halved.max(1)
+}
+
 impl Planner {
+    /// Returns the policy of a job's queue, with the figures of the configuration in force if it still has the queue.
+    fn advice_of(&self, job: &Job) -> Option<Advice> {
+        let stored = job.stored.advice?;
+        let in_force = self.queue_advice.get(&job.stored.queue);
+        Some(in_force.copied().unwrap_or(stored))
+    }
+
     /// Returns whether a worker may run tasks of a group now according to its ticket; true if the queue has no advice
     /// policy.
     pub(crate) fn has_ticket(&self, group: GroupKey, worker: WorkerKey, now_ms: u64) -> bool {
@@ -93,11 +124,10 @@
             .tasks
             .iter()
             .any(|task| task.phase == Phase::Waiting);
-        if job.stored.advice.is_none()
-            || !waits
-            || group_state.tickets.in_flight
-            || now_ms < group_state.tickets.not_before_ms
-        {
+        let Some(advice) = self.advice_of(job) else {
+            return;
+        };
+        if !waits || group_state.tickets.in_flight || now_ms < group_state.tickets.not_before_ms {
             return;
         }
         let need = self.need(group);
@@ -123,7 +153,7 @@
         });
         let workers: Vec<(WorkerKey, String)> = open
             .into_iter()
-            .take(MAX_WORKERS_PER_QUERY)
+            .take(most_workers(&advice, group_state.tickets.unanswered))
             .map(|(key, worker)| (key, worker.entry.id.clone()))
             .collect();
         if workers.is_empty() {
@@ -139,6 +169,7 @@
         self.orders.push(Order::Ask {
             group,
             step,
+            expected_ms: advice.query_ms(workers.len()),
             workers,
         });
     }
@@ -167,8 +198,10 @@
         self.changed = true;
         let Some(answer) = answer else {
             tickets.not_before_ms = now_ms + UNANSWERED_RETRY_DELAY_MS;
+            tickets.unanswered = tickets.unanswered.saturating_add(1);
             return;
         };
+        tickets.unanswered = 0;
         for key in by_id.values() {
             tickets.verdicts.insert(*key, Verdict::Forbidden);
         }
--- a/crates/scheduler/src/configuration.rs
+++ b/crates/scheduler/src/configuration.rs
@@ -13,6 +13,14 @@
     pub valid_ms: u64,
 }
 
+impl Advice {
+    /// Returns how long the service takes for a query about this many workers.
+    pub fn query_ms(&self, workers: usize) -> u64 {
+        let each_ms = self.each_worker_ms.saturating_mul(workers as u64);
+        self.decide_ms.saturating_add(each_ms)
+    }
+}
+
 /// A queue to which callers submit jobs.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Queue {
--- a/crates/scheduler/src/orders.rs
+++ b/crates/scheduler/src/orders.rs
@@ -52,6 +52,8 @@
         step: String,
         /// The workers and their ids.
         workers: Vec<(WorkerKey, String)>,
+        /// How long the service takes for it, by its figures.
+        expected_ms: u64,
     },
     /// Stop a run.
     Stop {
--- a/crates/scheduler/src/planner.rs
+++ b/crates/scheduler/src/planner.rs
@@ -4,7 +4,7 @@
 
 use slotmap::SlotMap;
 
-use crate::configuration::Configuration;
+use crate::configuration::{Advice, Configuration};
 use crate::counts::RunCounts;
 use crate::group::{GroupKey, JobKey, Phase, Task, TaskKey};
 use crate::job::Job;
@@ -55,6 +55,8 @@
 pub struct Planner {
     pub(crate) limits: Limits,
     pub(crate) guaranteed: HashMap<String, i64>,
+    /// The policies of queues that have one.
+    pub(crate) queue_advice: HashMap<String, Advice>,
     pub(crate) workers: SlotMap<WorkerKey, Worker>,
     pub(crate) racks: Racks,
     /// Data centres whose workers get no new work because the operator evacuates them.
@@ -101,6 +103,7 @@
         Planner {
             limits,
             guaranteed: HashMap::new(),
+            queue_advice: HashMap::new(),
             workers: SlotMap::with_key(),
             racks: Racks::default(),
             evacuated: Vec::new(),
@@ -133,13 +136,18 @@
         }
     }
 
-    /// Applies the configuration in force: the guarantees and the service of urgent work.
+    /// Applies the configuration in force: the guarantees, the policies of queues and the service of urgent work.
     pub fn set_configuration(&mut self, configuration: &Configuration) {
         self.guaranteed = configuration
             .organisations
             .iter()
             .map(|o| (o.name.clone(), o.guaranteed_accelerators))
             .collect();
+        self.queue_advice = configuration
+            .queues
+            .iter()
+            .filter_map(|queue| Some((queue.name.clone(), queue.advice?)))
+            .collect();
         self.urgent_service = configuration
             .queues
             .iter()
--- a/crates/scheduler/tests/placing.rs
+++ b/crates/scheduler/tests/placing.rs
@@ -348,6 +348,7 @@
             group,
             step,
             workers,
+            ..
         },
     ] = orders.as_slice()
     else {
