Build the tasks of an occurrence once it is due

Cause: Job::new built the tasks of all occurrences of a job, some 260 bytes each, also of those that are due in hours.

Why this works: occurrences are due in order, so a job holds the groups of the first ones, up to the last that is due or that a record names, and its keys stay valid as groups are only added. It is done once all have begun and are done. The part of a large record that a task is in follows from the steps and occurrences as before.

--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -362,7 +362,7 @@
         let Some(job) = self.jobs.get_mut(key) else {
             return;
         };
-        if !job.state.is_final() && job.groups.iter().all(|group| group.is_done()) {
+        if !job.state.is_final() && job.is_done() {
             job.state = JobState::Completed;
             let id = job.stored.id;
             let why = format!("all tasks are done; {}", job.describe_timing());
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -51,6 +51,8 @@
     pub known_ms: u64,
     pub state: JobState,
     pub ended_unix_ms: u64,
+    /// The groups of the occurrences that have begun, in order. Those of an occurrence that is not due yet are left out,
+    /// since jobs may wait for many occurrences of many tasks.
     pub groups: Vec<Group>,
     /// Whether its record in the store is outdated.
     pub dirty: bool,
@@ -65,16 +67,7 @@
 impl Job {
     pub fn new(mut stored: StoredJob, account: AccountKey, order: u64, now_ms: u64) -> Job {
         let text: Arc<str> = std::mem::take(&mut stored.request.text).into();
-        let steps = &stored.request.steps;
-        let groups = (0..stored.request.timing.occurrences())
-            .flat_map(|k| {
-                steps
-                    .iter()
-                    .enumerate()
-                    .map(move |(index, step)| Group::new(k, index as u32, step, now_ms))
-            })
-            .collect();
-        Job {
+        let mut job = Job {
             stored,
             account,
             text,
@@ -82,12 +75,47 @@
             known_ms: now_ms,
             state: JobState::Pending,
             ended_unix_ms: 0,
-            groups,
+            groups: Vec::new(),
             dirty: false,
             over: false,
             idle_since_ms: None,
             is_idle_logged: false,
+        };
+        if job.stored.request.timing.times == 0 {
+            job.begin_occurrences(1, now_ms);
+        }
+        job
+    }
+
+    /// Returns how many occurrences have begun.
+    fn begun_occurrences(&self) -> u32 {
+        (self.groups.len() / self.stored.request.steps.len().max(1)) as u32
+    }
+
+    /// Begins the first `count` occurrences, as far as they have not begun yet and the job has as many.
+    pub fn begin_occurrences(&mut self, count: u32, now_ms: u64) {
+        let count = count.min(self.stored.request.timing.occurrences());
+        for occurrence in self.begun_occurrences()..count {
+            let steps = (0..).zip(&self.stored.request.steps);
+            let groups = steps.map(|(index, step)| Group::new(occurrence, index, step, now_ms));
+            self.groups.extend(groups);
+        }
+    }
+
+    /// Begins the occurrences that are due at `unix_ms`.
+    pub fn begin_due_occurrences(&mut self, unix_ms: u64, now_ms: u64) {
+        let timing = self.stored.request.timing;
+        let mut count = self.begun_occurrences();
+        while count < timing.occurrences() && timing.due_unix_ms(count) <= unix_ms {
+            count += 1;
         }
+        self.begin_occurrences(count, now_ms);
+    }
+
+    /// Returns whether all tasks of all occurrences are done.
+    pub fn is_done(&self) -> bool {
+        self.begun_occurrences() == self.stored.request.timing.occurrences()
+            && self.groups.iter().all(Group::is_done)
     }
 
     /// Returns the step that a group belongs to.
@@ -211,8 +239,11 @@
                 .map(|g| group_record(g, &name))
                 .collect(),
         };
-        let sizes = self.groups.iter();
-        let sizes = sizes.map(|g| (g.occurrence, g.step, g.tasks.len()));
+        let steps = &self.stored.request.steps;
+        let sizes = (0..self.stored.request.timing.occurrences()).flat_map(|occurrence| {
+            let steps = (0..).zip(steps);
+            steps.map(move |(index, step)| (occurrence, index, step.count as usize))
+        });
         let (groups, parts) = divide_groups(sizes, groups);
         let record = JobRecord {
             state: self.state,
--- a/crates/scheduler/src/restore.rs
+++ b/crates/scheduler/src/restore.rs
@@ -1,6 +1,6 @@
 //! Restores the jobs that an earlier planner left in the store.
 
-use crate::group::{GangFailures, Group, GroupKey, JobKey, Phase, TaskKey};
+use crate::group::{GangFailures, GroupKey, JobKey, Phase, TaskKey};
 use crate::job::JobState;
 use crate::planner::Planner;
 use crate::record::{GroupRecord, JobRecord, StoredJob, StoredWorker};
@@ -22,8 +22,10 @@
         let Some(&key) = self.by_job.get(&id) else {
             return;
         };
-        let groups = record.iter().flat_map(|record| &record.groups);
-        for group in groups {
+        let groups = || record.iter().flat_map(|record| &record.groups);
+        let begun = groups().map(|group| group.occurrence.saturating_add(1));
+        self.jobs[key].begin_occurrences(begun.max().unwrap_or(0), now_ms);
+        for group in groups() {
             self.restore_group(key, group, now_ms);
         }
         let job = &mut self.jobs[key];
@@ -47,7 +49,7 @@
                 self.end_job(key, JobState::Failed, now_ms);
             }
         }
-        if self.jobs[key].groups.iter().all(Group::is_done) {
+        if self.jobs[key].is_done() {
             self.settle_job(key);
         }
     }
