Count a job as waiting until a run of it has started

Cause: a job counted as begun once a task of it was assigned, whatever became of the start.

Why this works: a job has begun if a run of it is known to have started: its start was answered, a worker lists the run or its end, or a predecessor hands the end over. Until then it counts as begun only while a start is about to be answered. When a start gets no answer or is refused, the record is written again and puts the job's key back into the list of waiting jobs; the record says so to a successor. What starts at once needs no further write.

--- a/crates/control/src/job_calls.rs
+++ b/crates/control/src/job_calls.rs
@@ -119,6 +119,7 @@
             .as_ref()
             .map_or_else(String::new, |job| job.queue.clone()),
         organisation: stored.map_or_else(String::new, |job| job.organisation),
+        begun: false,
         ended_unix_ms: 0,
         groups: Vec::new(),
     }
--- a/crates/control/src/keys.rs
+++ b/crates/control/src/keys.rs
@@ -7,7 +7,7 @@
 //! | `q/j/ID` | the accepted job | the node that accepts it | by the planner, once the job has ended |
 //! | `q/c/ID` | empty; present if its caller cancelled the job | the node that receives the cancel | with `q/j/ID` |
 //! | `q/e/TERM-N` | runs that workers had listed as done to the planner of a term that has ended | that planner's node | by the next planner, with the records that hold them |
-//! | `n/ID` | the job's queue, while nothing of it has begun | the node that accepts it | by the planner |
+//! | `n/ID` | the job's queue, while nothing of it has begun | the node that accepts it, and the planner if a start may not be carried out | by the planner |
 //! | `peers/NODE` | where the node takes calls of its peers, and its processor | each node, under a lease | with the lease |
 //! | `waves/N` | the progress of each machine in a wave of maintenance | the planner, before it empties a machine and after it went down | never |
 //! | `policy/shares` | what the order of turns rests on | the planner, along with starts | never |
--- a/crates/control/src/record_writer.rs
+++ b/crates/control/src/record_writer.rs
@@ -201,8 +201,17 @@
     fn build_entries(&mut self, write: &RecordWrite) -> Result<Vec<Entries>, String> {
         let value = encode(write.job, &write.record)?;
         let mut record = Entries::put(keys::record(write.job), value);
-        if write.begun && self.not_waiting.insert(write.job) {
-            record.removals.push(keys::waiting(write.job));
+        match write.begun {
+            true if self.not_waiting.insert(write.job) => {
+                record.removals.push(keys::waiting(write.job));
+            }
+            // Its start may never have been carried out.
+            false if self.not_waiting.remove(&write.job) => record.puts.push(Put {
+                key: keys::waiting(write.job),
+                value: write.record.queue.clone().into_bytes(),
+                lease: None,
+            }),
+            _ => {}
         }
         if write.over {
             self.not_waiting.remove(&write.job);
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -30,6 +30,7 @@
         if !is_current && !is_done_late {
             return;
         }
+        self.record_start(key.group.job);
         let id = self.jobs[key.group.job].stored.id;
         if ended.outcome != RunOutcome::Done || is_done_late {
             let discarded = match ended.outcome {
--- a/crates/scheduler/src/events.rs
+++ b/crates/scheduler/src/events.rs
@@ -244,6 +244,7 @@
             };
             task.started_ms = now_ms;
         }
+        self.record_start(key.group.job);
         if grew && let Some(worker) = self.workers.get_mut(worker) {
             worker.health.record_work(began_ms);
         }
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::group::{Group, Task};
+use crate::group::{Group, Phase, Task};
 use crate::policy::shares::AccountKey;
 use crate::record::{GroupRecord, JobRecord, RecordPart, StoredJob, StoredWorker, TaskRecord};
 use crate::record_parts::{MAX_PROGRESS_BYTES, divide_groups};
@@ -54,6 +54,10 @@
     /// The groups of the occurrences that have begun, in order. Those of an occurrence that is not due yet are left out,
     /// since jobs may wait for many occurrences of many tasks.
     pub groups: Vec<Group>,
+    /// Whether a run of it is known to have started.
+    pub has_started: bool,
+    /// Whether its last record says that it has not begun.
+    pub is_shown_waiting: bool,
     /// Whether its record in the store is outdated.
     pub dirty: bool,
     /// Whether the last record says that the job has ended and nothing runs; the job is removed once it is stored.
@@ -76,6 +80,8 @@
             state: JobState::Pending,
             ended_unix_ms: 0,
             groups: Vec::new(),
+            has_started: false,
+            is_shown_waiting: true,
             dirty: false,
             over: false,
             idle_since_ms: None,
@@ -112,6 +118,23 @@
         self.begin_occurrences(count, now_ms);
     }
 
+    /// Returns whether it counts as begun: a run of it has started, or is about to. A start without an answer may never
+    /// be carried out.
+    pub fn has_begun(&self) -> bool {
+        let is_starting = |task: &Task| {
+            matches!(
+                task.phase,
+                Phase::Assigned(_)
+                    | Phase::Starting {
+                        unanswered: false,
+                        ..
+                    }
+            )
+        };
+        let mut tasks = self.groups.iter().flat_map(|group| &group.tasks);
+        self.state.is_final() || self.has_started || tasks.any(is_starting)
+    }
+
     /// Returns whether all tasks of all occurrences are done.
     pub fn is_done(&self) -> bool {
         self.begun_occurrences() == self.stored.request.timing.occurrences()
@@ -249,6 +272,7 @@
             state: self.state,
             queue: self.stored.queue.clone(),
             organisation: self.stored.organisation.clone(),
+            begun: self.has_begun(),
             ended_unix_ms: self.ended_unix_ms,
             groups,
         };
--- a/crates/scheduler/src/outcomes.rs
+++ b/crates/scheduler/src/outcomes.rs
@@ -36,6 +36,9 @@
                 };
                 task.start_in_doubt = true;
                 let placed_ms = task.placed_ms;
+                if !self.jobs[key.group.job].has_started {
+                    self.mark_dirty(key.group.job);
+                }
                 self.counts.unanswered += 1;
                 let restarted = self
                     .workers
@@ -70,6 +73,7 @@
         };
         task.started_ms = received_ms;
         task.progressed_ms = received_ms;
+        self.record_start(key.group.job);
         let job = &self.jobs[key.group.job];
         let first = job
             .groups
--- a/crates/scheduler/src/record.rs
+++ b/crates/scheduler/src/record.rs
@@ -46,6 +46,9 @@
     /// The organisation of the caller; empty for a public queue without a known key.
     #[serde(default)]
     pub organisation: String,
+    /// Whether it counts as begun; false while it is uncertain that anything of it has started.
+    #[serde(default = "has_begun", skip_serializing_if = "is_true")]
+    pub begun: bool,
     /// When the job ended, in Unix milliseconds; 0 before that.
     #[serde(default)]
     pub ended_unix_ms: u64,
@@ -79,6 +82,14 @@
     pub units: Vec<TaskRecord>,
 }
 
+fn has_begun() -> bool {
+    true
+}
+
+fn is_true(value: &bool) -> bool {
+    *value
+}
+
 fn is_zero(number: &u32) -> bool {
     *number == 0
 }
--- a/crates/scheduler/src/record_parts.rs
+++ b/crates/scheduler/src/record_parts.rs
@@ -90,6 +90,7 @@
         state: JobState::Running,
         queue: stored.queue.clone(),
         organisation: stored.organisation.clone(),
+        begun: true,
         ended_unix_ms: 0,
         groups: Vec::new(),
     });
--- a/crates/scheduler/src/restore.rs
+++ b/crates/scheduler/src/restore.rs
@@ -38,6 +38,8 @@
         };
         job.ended_unix_ms = record.ended_unix_ms;
         job.state = record.state;
+        job.has_started = record.state != JobState::Pending && record.begun;
+        job.is_shown_waiting = !record.begun;
         if record.state.is_final() {
             return self.finish_ended_job(key, now_ms);
         }
