--- a/crates/control/src/record_writer.rs
+++ b/crates/control/src/record_writer.rs
@@ -201,7 +201,7 @@
     fn build_entries(&mut self, write: &RecordWrite) -> Result<Vec<Entries>, String> {
         let value = encode(write.job, &write.record)?;
         let mut record = Entries::put(keys::record(write.job), value);
-        match write.begun {
+        match write.record.begun {
             true if self.not_waiting.insert(write.job) => {
                 record.removals.push(keys::waiting(write.job));
             }
--- a/crates/scheduler/src/advice.rs
+++ b/crates/scheduler/src/advice.rs
@@ -13,8 +13,8 @@
 /// The most workers in one query; the objective for the time of a step counts one query on this many.
 const MAX_WORKERS_PER_QUERY: usize = 30;
 
-/// The longest query about several workers, unless the decision alone takes half of it: a job may have nothing running for
-/// 14 s, and the first workers may all be forbidden.
+/// The longest query about several workers: a job may have nothing running for 14 s, and the first workers may all be
+/// forbidden. If the decision alone takes over half of it, the workers may take as long again.
 const MAX_QUERY_MS: u64 = 5_000;
 
 /// A ticket that expires sooner than this is not used, since the assignment has to be stored and sent first.
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -51,8 +51,8 @@
     pub known_ms: u64,
     pub state: JobState,
     pub ended_unix_ms: u64,
-    /// The groups of the occurrences that have begun, in order. Those of an occurrence that is not due yet are left out,
-    /// since jobs may wait for many occurrences of many tasks.
+    /// The groups of the first occurrences, in order. Those of an occurrence that is not due yet are built later, since
+    /// jobs may wait for many occurrences of many tasks.
     pub groups: Vec<Group>,
     /// Whether a run of it is known to have started.
     pub has_started: bool,
@@ -88,34 +88,34 @@
             is_idle_logged: false,
         };
         if job.stored.request.timing.times == 0 {
-            job.begin_occurrences(1, now_ms);
+            job.build_occurrences(1, now_ms);
         }
         job
     }
 
-    /// Returns how many occurrences have begun.
-    fn begun_occurrences(&self) -> u32 {
+    /// Returns for how many occurrences the groups are built.
+    fn built_occurrences(&self) -> u32 {
         (self.groups.len() / self.stored.request.steps.len().max(1)) as u32
     }
 
-    /// Begins the first `count` occurrences, as far as they have not begun yet and the job has as many.
-    pub fn begin_occurrences(&mut self, count: u32, now_ms: u64) {
+    /// Builds the groups of the first `count` occurrences, as far as they are missing and the job has as many.
+    pub fn build_occurrences(&mut self, count: u32, now_ms: u64) {
         let count = count.min(self.stored.request.timing.occurrences());
-        for occurrence in self.begun_occurrences()..count {
+        for occurrence in self.built_occurrences()..count {
             let steps = (0..).zip(&self.stored.request.steps);
             let groups = steps.map(|(index, step)| Group::new(occurrence, index, step, now_ms));
             self.groups.extend(groups);
         }
     }
 
-    /// Begins the occurrences that are due at `unix_ms`.
-    pub fn begin_due_occurrences(&mut self, unix_ms: u64, now_ms: u64) {
+    /// Builds the groups of the occurrences that are due at `unix_ms`.
+    pub fn build_due_occurrences(&mut self, unix_ms: u64, now_ms: u64) {
         let timing = self.stored.request.timing;
-        let mut count = self.begun_occurrences();
+        let mut count = self.built_occurrences();
         while count < timing.occurrences() && timing.due_unix_ms(count) <= unix_ms {
             count += 1;
         }
-        self.begin_occurrences(count, now_ms);
+        self.build_occurrences(count, now_ms);
     }
 
     /// Returns whether it counts as begun: a run of it has started, or is about to. A start without an answer may never
@@ -137,7 +137,7 @@
 
     /// Returns whether all tasks of all occurrences are done.
     pub fn is_done(&self) -> bool {
-        self.begun_occurrences() == self.stored.request.timing.occurrences()
+        self.built_occurrences() == self.stored.request.timing.occurrences()
             && self.groups.iter().all(Group::is_done)
     }
 
--- a/crates/scheduler/src/orders.rs
+++ b/crates/scheduler/src/orders.rs
@@ -136,8 +136,6 @@
     pub record: JobRecord,
     /// The parts of the record, if the job has many tasks.
     pub parts: Vec<RecordPart>,
-    /// Whether the job no longer counts as waiting.
-    pub begun: bool,
     /// Whether the job has ended and nothing runs, so that its request can be deleted.
     pub over: bool,
 }
--- a/crates/scheduler/src/outcomes.rs
+++ b/crates/scheduler/src/outcomes.rs
@@ -1,6 +1,6 @@
 //! Applies the outcomes of start and stop orders.
 
-use crate::group::{Phase, TaskKey};
+use crate::group::{JobKey, Phase, TaskKey};
 use crate::orders::{StartOutcome, StopOutcome};
 use crate::planner::Planner;
 use crate::worker::WorkerKey;
@@ -88,6 +88,16 @@
         }
     }
 
+    /// Records that a run of a job has started.
+    pub(crate) fn record_start(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        if !std::mem::replace(&mut job.has_started, true) && job.is_shown_waiting {
+            self.mark_dirty(key);
+        }
+    }
+
     /// Handles a refused start: the task starts elsewhere, unless an earlier unanswered call may still take effect.
     fn handle_refused_start(
         &mut self,
--- a/crates/scheduler/src/planner.rs
+++ b/crates/scheduler/src/planner.rs
@@ -226,13 +226,11 @@
             }
             job.over = job.state.is_final() && !job.occupies_capacity();
             let (record, parts) = job.record(|w| workers.get(w).map(Worker::stored));
-            let begun = record.begun;
-            job.is_shown_waiting = !begun;
+            job.is_shown_waiting = !record.begun;
             writes.push(RecordWrite {
                 job: job.stored.id,
                 record,
                 parts,
-                begun,
                 over: job.over,
             });
         }
@@ -407,16 +405,6 @@
             .map_or_else(Resources::default, |job| job.need_of(key.group as usize))
     }
 
-    /// Records that a run of a job has started.
-    pub(crate) fn record_start(&mut self, key: JobKey) {
-        let Some(job) = self.jobs.get_mut(key) else {
-            return;
-        };
-        if !std::mem::replace(&mut job.has_started, true) && job.is_shown_waiting {
-            self.mark_dirty(key);
-        }
-    }
-
     /// Marks a job's record in the store as outdated.
     pub(crate) fn mark_dirty(&mut self, key: JobKey) {
         self.changed = true;
--- a/crates/scheduler/src/restore.rs
+++ b/crates/scheduler/src/restore.rs
@@ -23,8 +23,8 @@
             return;
         };
         let groups = || record.iter().flat_map(|record| &record.groups);
-        let begun = groups().map(|group| group.occurrence.saturating_add(1));
-        self.jobs[key].begin_occurrences(begun.max().unwrap_or(0), now_ms);
+        let recorded = groups().map(|group| group.occurrence.saturating_add(1));
+        self.jobs[key].build_occurrences(recorded.max().unwrap_or(0), now_ms);
         for group in groups() {
             self.restore_group(key, group, now_ms);
         }
--- a/crates/scheduler/src/turns.rs
+++ b/crates/scheduler/src/turns.rs
@@ -63,7 +63,7 @@
             if job.state.is_final() {
                 continue;
             }
-            job.begin_due_occurrences(unix_ms + EARLY_START_MS, now_ms);
+            job.build_due_occurrences(unix_ms + EARLY_START_MS, now_ms);
             for group in 0..job.groups.len() {
                 let due = unix_ms + EARLY_START_MS
                     >= job
--- a/crates/scheduler/src/unstored.rs
+++ b/crates/scheduler/src/unstored.rs
@@ -118,14 +118,13 @@
         if task.is_done() || task.run < done.run {
             return;
         }
-        let job = key.group.job;
         let is_current = task.run == done.run && task.phase.worker().is_some();
         let why = format!(
             "task {} run {} done, as the planner of term {term} heard",
             done.task, done.run
         );
         self.record_decision(Some(done.task.job), "ended", why);
-        self.record_start(job);
+        self.record_start(key.group.job);
         match is_current {
             true => self.finish_task(key, now_ms),
             false => self.finish_late(key, now_ms),
--- a/crates/scheduler/tests/partial_ends.rs
+++ b/crates/scheduler/tests/partial_ends.rs
@@ -7,7 +7,7 @@
 
 use rstest::rstest;
 use scheduler::prelude::*;
-use scheduler::{ActiveRun, EndedRun, JobState, RunOutcome, StartOutcome, StopOutcome};
+use scheduler::{EndedRun, JobState, RunOutcome, StartOutcome, StopOutcome};
 use support::live_site::{LiveSite, TICK_MS};
 use support::{Harness, ended, entry, job, limits, running, starts, step, stops};
 
@@ -20,42 +20,16 @@
 /// When the next incarnation of the worker begins.
 const NEXT_BORN_UNIX_MS: u64 = 2_000;
 
-/// Reports a list of runs and of ends to the planner; `complete` tells whether these are all ends.
-fn report(
-    harness: &mut Harness,
-    index: usize,
-    running: Vec<ActiveRun>,
-    ended: Vec<EndedRun>,
-    complete: bool,
-) {
-    let born_unix_ms = harness
-        .planner
-        .entry(harness.workers[index])
-        .unwrap()
-        .born_unix_ms;
-    report_as(harness, index, born_unix_ms, running, ended, complete);
+/// Reports the ends of the only worker, on which nothing runs; `complete` says whether these are all.
+fn report(harness: &mut Harness, ended: Vec<EndedRun>, complete: bool) {
+    harness.now_ms += TICK_MS;
+    harness.apply_lists(0, Some(entry(0).born_unix_ms), vec![], ended, complete);
 }
 
-fn report_as(
-    harness: &mut Harness,
-    index: usize,
-    born_unix_ms: u64,
-    running: Vec<ActiveRun>,
-    ended: Vec<EndedRun>,
-    complete: bool,
-) {
+/// The same for the next incarnation of the worker.
+fn report_as_next(harness: &mut Harness, ended: Vec<EndedRun>, complete: bool) {
     harness.now_ms += TICK_MS;
-    let report = RenewalReport {
-        sent_ms: harness.now_ms,
-        received_ms: harness.now_ms,
-        worker_clock_ms: 500_000 + harness.now_ms,
-        born_unix_ms: Some(born_unix_ms),
-        running,
-        ended,
-        ends_complete: complete,
-    };
-    let worker = harness.workers[index];
-    harness.planner.apply_report(worker, &report);
+    harness.apply_lists(0, Some(NEXT_BORN_UNIX_MS), vec![], ended, complete);
 }
 
 /// Returns a planner that has started a job of two tasks on its only worker, and the orders.
@@ -80,7 +54,20 @@
     ended(order, number, RunOutcome::Done, "")
 }
 
-/// Plays as many ends as two answers hold.
+/// Returns the rest of a worker's ends: that of a run, or none.
+fn list_rest(order: &Order, is_done: bool) -> Vec<EndedRun> {
+    match is_done {
+        true => vec![done(order, 2)],
+        false => vec![],
+    }
+}
+
+/// Returns the runs that start now.
+fn next_runs(harness: &mut Harness) -> Vec<u32> {
+    let runs = starts(&harness.plan()).into_iter().map(|(_, run)| run);
+    runs.collect()
+}
+
 #[rstest]
 #[case::its_end_follows(true, vec![])]
 #[case::it_is_lost(false, vec![2])]
@@ -89,16 +76,10 @@
     #[case] expected_runs: Vec<u32>,
 ) {
     let (mut harness, orders) = start_two(false);
-    report(&mut harness, 0, vec![], vec![done(&orders[0], 1)], false);
+    report(&mut harness, vec![done(&orders[0], 1)], false);
     assert_eq!(starts(&harness.plan()), []);
-    let rest = match is_done {
-        true => vec![done(&orders[1], 2)],
-        false => vec![],
-    };
-    report(&mut harness, 0, vec![], rest, true);
-    let again = starts(&harness.plan());
-    let runs: Vec<u32> = again.into_iter().map(|(_, run)| run).collect();
-    assert_eq!(runs, expected_runs);
+    report(&mut harness, list_rest(&orders[1], is_done), true);
+    assert_eq!(next_runs(&mut harness), expected_runs);
 }
 
 /// The ends cannot be confirmed for some time, so that the worker lists the same ones again and again.
@@ -106,10 +87,10 @@
 fn same_part_of_ends_is_listed_again() {
     let (mut harness, orders) = start_two(false);
     for _ in 0..3 {
-        report(&mut harness, 0, vec![], vec![done(&orders[0], 1)], false);
+        report(&mut harness, vec![done(&orders[0], 1)], false);
         assert_eq!(starts(&harness.plan()), []);
     }
-    report(&mut harness, 0, vec![], vec![done(&orders[1], 2)], true);
+    report(&mut harness, vec![done(&orders[1], 2)], true);
     assert_eq!(starts(&harness.plan()), []);
     assert_eq!(harness.planner.sizes().0, 0, "the job is over");
 }
@@ -138,17 +119,11 @@
     next.planner
         .restore_job(stored, Some(record), 1, next.now_ms);
     for _ in 0..2 {
-        report(&mut next, 0, vec![], vec![done(&orders[0], 1)], false);
+        report(&mut next, vec![done(&orders[0], 1)], false);
         assert_eq!(starts(&next.plan()), []);
     }
-    let rest = match is_done {
-        true => vec![done(&orders[1], 2)],
-        false => vec![],
-    };
-    report(&mut next, 0, vec![], rest, true);
-    let again = starts(&next.plan());
-    let runs: Vec<u32> = again.into_iter().map(|(_, run)| run).collect();
-    assert_eq!(runs, expected_runs);
+    report(&mut next, list_rest(&orders[1], is_done), true);
+    assert_eq!(next_runs(&mut next), expected_runs);
 }
 
 /// A run that is being stopped occupies its worker until all ends are listed.
@@ -175,9 +150,9 @@
         .planner
         .add_job(job(2, 1, vec![step(1, 8)]), 2, harness.now_ms);
     let stopped = |order, number| ended(order, number, RunOutcome::Stopped, "");
-    report(&mut harness, 0, vec![], vec![stopped(&orders[0], 1)], false);
+    report(&mut harness, vec![stopped(&orders[0], 1)], false);
     assert_eq!(starts(&harness.plan()), []);
-    report(&mut harness, 0, vec![], vec![stopped(&orders[1], 2)], true);
+    report(&mut harness, vec![stopped(&orders[1], 2)], true);
     assert_eq!(starts(&harness.plan()).len(), 1);
 }
 
@@ -190,24 +165,11 @@
     #[case] expected_runs: Vec<u32>,
 ) {
     let (mut harness, orders) = start_two(false);
-    report_as(
-        &mut harness,
-        0,
-        NEXT_BORN_UNIX_MS,
-        vec![],
-        vec![done(&orders[0], 1)],
-        false,
-    );
+    report_as_next(&mut harness, vec![done(&orders[0], 1)], false);
     list_next_incarnation(&mut harness);
     assert_eq!(starts(&harness.plan()), []);
-    let rest = match is_done {
-        true => vec![done(&orders[1], 2)],
-        false => vec![],
-    };
-    report_as(&mut harness, 0, NEXT_BORN_UNIX_MS, vec![], rest, true);
-    let again = starts(&harness.plan());
-    let runs: Vec<u32> = again.into_iter().map(|(_, run)| run).collect();
-    assert_eq!(runs, expected_runs);
+    report_as_next(&mut harness, list_rest(&orders[1], is_done), true);
+    assert_eq!(next_runs(&mut harness), expected_runs);
 }
 
 /// What the earlier incarnation has listed as running is over with it, whatever the next one lists.
@@ -219,7 +181,7 @@
     let orders = harness.start_all();
     harness.now_ms += TICK_MS;
     harness.report_as(0, 1_000, orders.iter().map(running).collect(), vec![]);
-    report_as(&mut harness, 0, NEXT_BORN_UNIX_MS, vec![], vec![], false);
+    report_as_next(&mut harness, vec![], false);
     list_next_incarnation(&mut harness);
     assert_eq!(starts(&harness.plan()).len(), 1);
 }
@@ -233,7 +195,7 @@
     let orders = harness.plan();
     harness.report_start_outcome(&orders[0], StartOutcome::NoAnswer);
     harness.take_orders();
-    report_as(&mut harness, 0, NEXT_BORN_UNIX_MS, vec![], vec![], false);
+    report_as_next(&mut harness, vec![], false);
     list_next_incarnation(&mut harness);
     let orders = harness.plan();
     assert_eq!((starts(&orders).len(), stops(&orders).len()), (0, 1));
@@ -246,10 +208,10 @@
     harness
         .planner
         .add_job(job(2, 1, vec![step(1, 8)]), 2, harness.now_ms);
-    report(&mut harness, 0, vec![], vec![done(&orders[0], 1)], false);
-    report(&mut harness, 0, vec![], vec![], false);
+    report(&mut harness, vec![done(&orders[0], 1)], false);
+    report(&mut harness, vec![], false);
     assert_eq!(starts(&harness.plan()), []);
-    report(&mut harness, 0, vec![], vec![done(&orders[1], 2)], true);
+    report(&mut harness, vec![done(&orders[1], 2)], true);
     assert_eq!(starts(&harness.plan()).len(), 1);
 }
 
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -129,16 +129,7 @@
 
     /// Applies the answer of a worker to a renewal that was sent just now.
     pub fn report(&mut self, index: usize, running: Vec<ActiveRun>, ended: Vec<EndedRun>) {
-        let report = RenewalReport {
-            sent_ms: self.now_ms,
-            received_ms: self.now_ms,
-            worker_clock_ms: 500_000 + self.now_ms,
-            born_unix_ms: None,
-            running,
-            ended,
-            ends_complete: true,
-        };
-        self.planner.apply_report(self.workers[index], &report);
+        self.apply_lists(index, None, running, ended, true);
     }
 
     /// Applies the answer of an incarnation of a worker to a renewal that was sent just now.
@@ -148,15 +139,28 @@
         born_unix_ms: u64,
         running: Vec<ActiveRun>,
         ended: Vec<EndedRun>,
+    ) {
+        self.apply_lists(index, Some(born_unix_ms), running, ended, true);
+    }
+
+    /// Applies the lists of a worker, or of an incarnation of it, that it has sent just now; `ends_complete` says whether
+    /// it has listed all its ends.
+    pub fn apply_lists(
+        &mut self,
+        index: usize,
+        born_unix_ms: Option<u64>,
+        running: Vec<ActiveRun>,
+        ended: Vec<EndedRun>,
+        ends_complete: bool,
     ) {
         let report = RenewalReport {
             sent_ms: self.now_ms,
             received_ms: self.now_ms,
             worker_clock_ms: 500_000 + self.now_ms,
-            born_unix_ms: Some(born_unix_ms),
+            born_unix_ms,
             running,
             ended,
-            ends_complete: true,
+            ends_complete,
         };
         self.planner.apply_report(self.workers[index], &report);
     }
--- a/crates/scheduler/tests/waiting_jobs.rs
+++ b/crates/scheduler/tests/waiting_jobs.rs
@@ -16,7 +16,7 @@
     let stored = job(1, 1, vec![step(1, 8)]);
     harness.planner.add_job(stored.clone(), 1, harness.now_ms);
     let (_, flush) = harness.plan_without_store();
-    assert!(flush.writes[0].begun, "a start is about to be sent");
+    assert!(flush.writes[0].record.begun, "a start is about to be sent");
     harness.planner.complete_flush(flush, harness.now_ms);
     let orders = harness.take_orders();
     assert_eq!(orders.len(), 1);
@@ -26,7 +26,11 @@
 /// Returns what the next writes say of the job, the last one last; empty without a write.
 fn next_writes(harness: &mut Harness) -> Vec<bool> {
     let (_, flush) = harness.plan_without_store();
-    let begun = flush.writes.iter().map(|write| write.begun).collect();
+    let begun = flush
+        .writes
+        .iter()
+        .map(|write| write.record.begun)
+        .collect();
     harness.planner.complete_flush(flush, harness.now_ms);
     begun
 }
@@ -157,7 +161,7 @@
     next.report(0, vec![], vec![]);
     next.report(1, vec![], vec![]);
     let (_, flush) = next.plan_without_store();
-    assert!(flush.writes.iter().all(|write| write.begun));
+    assert!(flush.writes.iter().all(|write| write.record.begun));
     next.planner.complete_flush(flush, next.now_ms);
     assert_eq!(starts(&next.take_orders()).len(), 1);
 }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -86,7 +86,7 @@
         .unwrap_or(drawn)
 }
 
-/// Lets what some of the workers start meanwhile fail.
+/// Makes some of the workers fail what they start while the fault lasts.
 async fn let_workers_fail(site: &Site, fault: &Fault) -> String {
     let count = site.workers.len();
     let failing = (count / FAILING_SHARE).max(2);
@@ -97,18 +97,19 @@
     let ids: Vec<String> = places.iter().map(|place| lock(&place.id).clone()).collect();
     let ids = ids.join(" ");
     note_begin(site, fault, &ids);
-    for failing in [true, false] {
-        for place in &places {
-            let order = json!({"failing": failing});
-            site.control(place.control, "fail", &order).await;
-        }
-        if failing {
-            sleep(Duration::from_millis(fault.for_ms)).await;
-        }
-    }
+    set_failing(site, &places, true).await;
+    sleep(Duration::from_millis(fault.for_ms)).await;
+    set_failing(site, &places, false).await;
     ids
 }
 
+async fn set_failing(site: &Site, places: &[&Place], failing: bool) {
+    for place in places {
+        let order = json!({"failing": failing});
+        site.control(place.control, "fail", &order).await;
+    }
+}
+
 async fn harm_worker(site: &Arc<Site>, fault: &Fault) -> std::io::Result<String> {
     let at = choose_worker(site, fault.pick);
     let place = &site.workers[at];
