--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`serve`] runs a node until it is stopped. Durable state is kept in the platform's store under the keys listed in
 //! `keys`; scheduling decisions are made by the `scheduler` package.
 
+mod advice;
 mod body;
 mod byte_budget;
 mod call;
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -115,6 +115,14 @@
     StillKept,
     /// Workers chosen last because their runs stood still.
     WorkersStill,
+    /// Queries to the advice service that this node's planner has sent, by any VM.
+    AdviceQueries,
+    /// Queries to the advice service that were refused or not answered in time.
+    AdviceUnanswered,
+    /// Workers named in queries to the advice service.
+    AdviceNamed,
+    /// Workers that answers of the advice service have allowed.
+    AdviceAllowed,
     /// Tasks that failed.
     TasksFailed,
     /// Tasks that ended because another member of their gang did.
@@ -170,6 +178,8 @@
     StoreCall,
     /// Duration of an order to a worker.
     Order,
+    /// Duration of an answered query to the advice service.
+    Advice,
 }
 
 /// Longer times are recorded as this many milliseconds.
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -62,8 +62,6 @@
     pub workers: WorkerClient,
     pub machines: Option<MachinesClient>,
     pub advice: Option<AdviceClient>,
-    /// Held during a query, because the advice service answers one query of a node at a time.
-    pub advice_lock: tokio::sync::Mutex<()>,
     pub configuration: ConfigurationCache,
     pub peers: PeerList,
     pub configuration_changed: Notify,
@@ -105,7 +103,6 @@
             advice: settings
                 .advice
                 .map(|address| AdviceClient::new(&address.to_string(), http.clone())),
-            advice_lock: tokio::sync::Mutex::new(()),
             workers: WorkerClient::new(http, ORDER_TIMEOUT_MS),
             configuration: ConfigurationCache::default(),
             peers: PeerList::default(),
--- a/crates/control/src/orders.rs
+++ b/crates/control/src/orders.rs
@@ -4,10 +4,9 @@
 use std::time::Duration;
 
 use adapter::{CallError, StartDetails, WorkerReply};
-use scheduler::{
-    AdviceAnswer, GroupKey, Order, StartOutcome, StopOutcome, TaskKey, WorkerEntry, WorkerKey,
-};
+use scheduler::{Order, StartOutcome, StopOutcome, TaskKey, WorkerEntry, WorkerKey};
 
+use crate::advice::send_query;
 use crate::clock::now_ms;
 use crate::lease_renewal::{RenewalOutcome, check_incarnation};
 use crate::metrics::{Counter, Timing};
@@ -19,12 +18,6 @@
 /// How often a planner whose lead is not confirmed, or whose list of workers is old, checks whether it may send a start.
 const LEAD_POLL_MS: u64 = 20;
 
-/// How much longer than expected the answer of the advice service may take.
-const ADVICE_DELAY_MS: u64 = 5_000;
-
-/// The longest timeout of a query to the advice service: other steps wait for their turn meanwhile.
-const MAX_ADVICE_TIMEOUT_MS: u64 = 60_000;
-
 /// Sends all orders that are ready.
 pub(crate) fn dispatch_orders(term: &Arc<Term>) {
     let orders = {
@@ -45,24 +38,7 @@
     };
     for (order, entry) in orders {
         match (order, entry) {
-            (
-                Order::Ask {
-                    group,
-                    step,
-                    workers,
-                    expected_ms,
-                },
-                _,
-            ) => {
-                let timeout_ms = advice_timeout_ms(expected_ms);
-                term.spawn(request_advice(
-                    term.clone(),
-                    group,
-                    step,
-                    workers,
-                    timeout_ms,
-                ));
-            }
+            (order @ Order::Ask { .. }, _) => term.spawn(send_query(term.clone(), order)),
             (order, Some(entry)) => term.spawn(send_order(term.clone(), order, entry)),
             // The worker is gone, and so is every run on it.
             (_, None) => {}
@@ -199,42 +175,6 @@
     }
 }
 
-/// Returns the timeout of a query that is expected to take this long. The service may first have to complete an earlier one
-/// of this node, as long as this one, that was given up.
-fn advice_timeout_ms(expected_ms: u64) -> u64 {
-    expected_ms
-        .saturating_mul(2)
-        .saturating_add(ADVICE_DELAY_MS)
-        .min(MAX_ADVICE_TIMEOUT_MS)
-}
-
-/// Asks which workers may run a step, once no other query of this node is in flight.
-async fn request_advice(
-    term: Arc<Term>,
-    group: GroupKey,
-    step: String,
-    workers: Vec<(WorkerKey, String)>,
-    timeout_ms: u64,
-) {
-    let (keys, ids): (Vec<WorkerKey>, Vec<String>) = workers.into_iter().unzip();
-    let answer = match &term.node.advice {
-        Some(advice) => {
-            let _guard = term.node.advice_lock.lock().await;
-            advice.ask(&step, &ids, timeout_ms).await.ok()
-        }
-        None => None,
-    };
-    let received_ms = now_ms();
-    let answer = answer.map(|advised| AdviceAnswer {
-        allowed: advised.good,
-        valid_ms: advised.valid_ms,
-        received_ms,
-    });
-    term.lock_planner()
-        .apply_advice(group, &keys, answer, received_ms);
-    term.wake.notify_one();
-}
-
 fn map_start_reply(result: Result<WorkerReply, CallError>) -> StartOutcome {
     match result {
         Ok(WorkerReply::Done) => StartOutcome::Started {
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -20,6 +20,7 @@
 use tarpc::tokio_serde::formats::Bincode;
 use tarpc::tokio_util::codec::LengthDelimitedCodec;
 
+use crate::advice::{AdviceQuery, AdviceReply, ask_service};
 use crate::call::{Call, Target};
 use crate::charged_stream::ChargedStream;
 use crate::clock::now_ms;
@@ -52,6 +53,12 @@
 /// Timeout of a call to a peer, for its store call and the round trip.
 const PASS_TIMEOUT_MS: u64 = 1_000;
 
+/// How much longer than the peer itself a node waits for the answer of the advice service.
+const ADVICE_ROUND_TRIP_MS: u64 = 100;
+
+/// The longest wait for a peer's query, since a deadline has to be a time that the clock can hold.
+const MAX_ADVICE_WAIT_MS: u64 = 3_600_000;
+
 /// Most peers asked for one call, one after the other.
 const MAX_PEERS_ASKED: usize = 3;
 
@@ -92,6 +99,9 @@
 
     /// Asks this node to release the lead to a node whose VM has this much processor, in thousandths of a core.
     async fn yield_lead(processor_millis: u32);
+
+    /// Sends a query to the advice service for the leader; none if it is refused or not answered in time.
+    async fn ask_advice(query: AdviceQuery) -> Option<AdviceReply>;
 }
 
 /// Another node, from its entry in the store.
@@ -137,6 +147,14 @@
         }
     }
 
+    /// Returns the names of all peers.
+    pub fn names(&self) -> Vec<String> {
+        self.entries.lock().map_or_else(
+            |_| Vec::new(),
+            |known| known.iter().map(|peer| peer.name.clone()).collect(),
+        )
+    }
+
     /// Returns the entry of a node.
     pub fn find(&self, name: &str) -> Option<PeerEntry> {
         let known = self.entries.lock().ok()?;
@@ -271,6 +289,18 @@
     }
 }
 
+/// Sends a query to the advice service through a peer; none if the peer is not reached or has no answer in time.
+pub(crate) async fn ask_peer_for_advice(
+    peer: &PeerEntry,
+    query: AdviceQuery,
+) -> Option<AdviceReply> {
+    let client = connect_to_peer(peer.address).await?;
+    let timeout_ms = query.timeout_ms.saturating_add(ADVICE_ROUND_TRIP_MS);
+    let mut context = context::current();
+    context.deadline = Instant::now() + Duration::from_millis(timeout_ms.min(MAX_ADVICE_WAIT_MS));
+    client.ask_advice(context, query).await.ok()?
+}
+
 async fn ask_peer(
     address: SocketAddrV4,
     passed: PassedCall,
@@ -321,6 +351,13 @@
         Some(PassedReply { reply, version })
     }
 
+    async fn ask_advice(self, _: Context, query: AdviceQuery) -> Option<AdviceReply> {
+        match self.0.is_stopping() {
+            true => None,
+            false => ask_service(&self.0, query).await,
+        }
+    }
+
     async fn yield_lead(self, _: Context, processor_millis: u32) {
         let node = &self.0;
         if is_larger(processor_millis, node.settings.processor_millis) && node.holds_lead() {
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -67,6 +67,8 @@
     pub machines: Option<MachinesStandIn>,
     /// The advice service of nodes that start from now on, if there is one.
     pub advice: Option<AdviceStandIn>,
+    /// Where each node reaches it, by index; other nodes share its first address.
+    pub advice_addresses: Vec<SocketAddr>,
     /// How many writes per second the store takes, by the settings of nodes that start from now on; 0 if unknown.
     pub writes_per_s: u64,
 }
@@ -106,6 +108,7 @@
             client: Client::new(),
             machines: None,
             advice: None,
+            advice_addresses: Vec::new(),
             writes_per_s: 0,
         };
         for _ in 0..workers {
@@ -167,7 +170,8 @@
             "store": {"address": store, "shortest_lease_ms": 100, "writes_per_s": self.writes_per_s},
             "orders": "rpc",
             "machines": self.machines.as_ref().map(MachinesStandIn::address),
-            "advice": self.advice.as_ref().map(AdviceStandIn::address),
+            "advice": self.advice_addresses.get(self.nodes.len()).copied()
+                .or_else(|| self.advice.as_ref().map(AdviceStandIn::address)),
         });
         let settings = Settings::parse("test", &text.to_string()).unwrap();
         let (kill, killed) = oneshot::channel();
@@ -272,6 +276,12 @@
         self.submit_body(at, id, &body).await
     }
 
+    /// Submits a job of these steps; returns the status, or 0 without an answer.
+    pub async fn submit_steps(&self, at: usize, id: u64, steps: Value) -> u16 {
+        let body = json!({"spec": "text", "steps": steps});
+        self.submit_body(at, id, &body).await
+    }
+
     async fn submit_body(&self, at: usize, id: u64, body: &Value) -> u16 {
         let body = body.to_string();
         let response = self
--- /dev/null
+++ b/crates/scheduler/src/advice/callers.rs
@@ -0,0 +1,199 @@
+//! The VMs that can send queries to the advice service, and the queries in flight. The service takes the queries of each
+//! VM in turn, so each sends the next once the last has been answered, or should have been for long.
+
+use slotmap::{SlotMap, new_key_type};
+
+use super::sizing::{is_long, lapse_ms, overdue_ms, timeout_ms};
+use crate::group::GroupKey;
+use crate::worker::WorkerKey;
+
+/// Delay before the next query of a VM after one that was refused or could not be sent; doubles up to
+/// [`MAX_RETRY_DELAY_MS`].
+const RETRY_DELAY_MS: u64 = 300;
+const MAX_RETRY_DELAY_MS: u64 = 2_400;
+
+new_key_type! {
+    /// A query in flight.
+    pub struct QueryKey;
+}
+
+/// A query in flight.
+#[derive(Debug)]
+pub(crate) struct Query {
+    pub group: GroupKey,
+    /// The workers and the incarnations that are known of them.
+    pub workers: Vec<(WorkerKey, u64)>,
+    caller: String,
+    pub sent_ms: u64,
+    pub expected_ms: u64,
+}
+
+impl Query {
+    /// Returns whether its answer should have come, so that others ask about the same workers.
+    pub fn is_overdue(&self, now_ms: u64) -> bool {
+        now_ms > overdue_ms(self.sent_ms, self.expected_ms)
+    }
+}
+
+/// A VM that can send queries.
+#[derive(Debug, Default)]
+struct Caller {
+    name: String,
+    /// The last query, if it is in flight and the VM waits for its answer.
+    last: Option<QueryKey>,
+    /// When the next query may be sent although the last one is in flight.
+    lapses_ms: u64,
+    /// When the next query may be sent after one that was refused.
+    not_before_ms: u64,
+    /// Queries in a row without an answer in time.
+    unanswered: u32,
+    /// Queries in a row that were refused, or could not be sent.
+    refused: u32,
+}
+
+/// How a query is sent.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) struct Dispatch {
+    pub query: QueryKey,
+    pub caller: String,
+    pub timeout_ms: u64,
+    pub new_connection: bool,
+}
+
+/// All VMs that can send queries, this one first, and the queries in flight.
+#[derive(Debug)]
+pub(crate) struct Callers {
+    callers: Vec<Caller>,
+    in_flight: SlotMap<QueryKey, Query>,
+}
+
+impl Default for Callers {
+    fn default() -> Callers {
+        Callers {
+            callers: vec![Caller::default()],
+            in_flight: SlotMap::with_key(),
+        }
+    }
+}
+
+impl Callers {
+    /// Sets the VMs that can send queries. What is known of a VM stays as long as it is among them.
+    pub fn set(&mut self, names: &[String]) {
+        let mut known = std::mem::take(&mut self.callers);
+        self.callers = names
+            .iter()
+            .map(|name| {
+                let position = known.iter().position(|caller| caller.name == *name);
+                let found = position.map(|position| known.swap_remove(position));
+                found.unwrap_or_else(|| Caller {
+                    name: name.clone(),
+                    ..Caller::default()
+                })
+            })
+            .collect();
+    }
+
+    /// Returns how many VMs can send queries.
+    pub fn count(&self) -> usize {
+        self.callers.len()
+    }
+
+    /// Returns how many VMs can send a query now.
+    pub fn idle(&self, now_ms: u64) -> usize {
+        self.callers.iter().filter(|c| c.is_idle(now_ms)).count()
+    }
+
+    /// Returns how many more long queries may be sent now. One VM is kept for short ones, so that steps of other queues do
+    /// not wait for long ones.
+    pub fn idle_for_long(&self, now_ms: u64) -> usize {
+        let most = self.count().saturating_sub(1).max(1);
+        let held = self.callers.iter().filter(|caller| {
+            let last = caller.last.and_then(|key| self.in_flight.get(key));
+            !caller.is_idle(now_ms) && last.is_some_and(|query| is_long(query.expected_ms))
+        });
+        most.saturating_sub(held.count()).min(self.idle(now_ms))
+    }
+
+    /// Returns the queries in flight.
+    pub fn queries(&self) -> impl Iterator<Item = &Query> {
+        self.in_flight.values()
+    }
+
+    /// Returns how many times in a row the VM that asks next got no answer.
+    pub fn next_unanswered(&self, now_ms: u64) -> u32 {
+        let next = self.callers.iter().find(|caller| caller.is_idle(now_ms));
+        next.map_or(0, |caller| {
+            caller.unanswered + u32::from(caller.last.is_some())
+        })
+    }
+
+    /// Sends a query by the first VM that can; none if no VM can.
+    pub fn send(
+        &mut self,
+        group: GroupKey,
+        workers: Vec<(WorkerKey, u64)>,
+        expected_ms: u64,
+        now_ms: u64,
+    ) -> Option<Dispatch> {
+        let caller = self.callers.iter_mut().find(|c| c.is_idle(now_ms))?;
+        if caller.last.is_some() {
+            caller.unanswered = caller.unanswered.saturating_add(1);
+        }
+        let query = self.in_flight.insert(Query {
+            group,
+            workers,
+            caller: caller.name.clone(),
+            sent_ms: now_ms,
+            expected_ms,
+        });
+        caller.last = Some(query);
+        caller.lapses_ms = now_ms.saturating_add(lapse_ms(expected_ms, caller.unanswered));
+        Some(Dispatch {
+            query,
+            caller: caller.name.clone(),
+            timeout_ms: timeout_ms(expected_ms),
+            new_connection: caller.unanswered + caller.refused > 0,
+        })
+    }
+
+    /// Ends a query; returns it if it was in flight.
+    pub fn end(&mut self, key: QueryKey, is_answered: bool, now_ms: u64) -> Option<Query> {
+        let query = self.in_flight.remove(key)?;
+        let caller = self.callers.iter_mut().find(|c| c.name == query.caller);
+        if let Some(caller) = caller {
+            let was_last = caller.last == Some(key);
+            if was_last {
+                caller.last = None;
+            }
+            if is_answered {
+                (caller.unanswered, caller.refused) = (0, 0);
+            } else if was_last {
+                // The query was not taken: an answer is waited for much longer than the next query.
+                let delay_ms = RETRY_DELAY_MS << caller.refused.min(3);
+                caller.not_before_ms = now_ms + delay_ms.min(MAX_RETRY_DELAY_MS);
+                caller.refused = caller.refused.saturating_add(1);
+            }
+        }
+        Some(query)
+    }
+
+    /// Describes a query in flight for the log.
+    pub fn describe(query: &Query, now_ms: u64) -> String {
+        format!(
+            "{} workers by {}, sent {} ms ago, expected to take {} ms",
+            query.workers.len(),
+            match query.caller.is_empty() {
+                true => "this VM",
+                false => &query.caller,
+            },
+            now_ms.saturating_sub(query.sent_ms),
+            query.expected_ms
+        )
+    }
+}
+
+impl Caller {
+    fn is_idle(&self, now_ms: u64) -> bool {
+        (self.last.is_none() || now_ms >= self.lapses_ms) && now_ms >= self.not_before_ms
+    }
+}
--- a/crates/scheduler/src/counts.rs
+++ b/crates/scheduler/src/counts.rs
@@ -29,6 +29,14 @@
     pub refused: u64,
     /// Calls that were unanswered.
     pub unanswered: u64,
+    /// Queries to the advice service that were sent.
+    pub advice_queries: u64,
+    /// Those that were refused or not answered in time.
+    pub advice_unanswered: u64,
+    /// Workers named in queries.
+    pub advice_named: u64,
+    /// Workers that answers have allowed.
+    pub advice_allowed: u64,
     /// Jobs that were given up because a task crashed one worker after the other.
     pub given_up: u64,
     /// Workers that were quarantined after one failure, during a burst of them.
--- a/crates/scheduler/src/fit.rs
+++ b/crates/scheduler/src/fit.rs
@@ -144,6 +144,15 @@
         .sum()
 }
 
+/// Which workers are candidates of a group whose queue has an advice policy.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum TicketUse {
+    /// Those for which it has a valid ticket.
+    Required,
+    /// All that suit it otherwise.
+    Ignored,
+}
+
 impl Planner {
     /// Returns whether a worker may get new work now.
     pub(crate) fn is_usable(&self, worker: &Worker, now_ms: u64) -> bool {
@@ -196,6 +205,18 @@
 
     /// Returns the workers that may run tasks of a group now, in the order of their racks.
     pub(crate) fn candidates(&self, group: GroupKey, reach: Reach, now_ms: u64) -> Vec<Candidate> {
+        self.candidates_by(group, reach, TicketUse::Required, now_ms)
+    }
+
+    /// Returns the workers that may run tasks of a group now, or that may once there is a ticket, in the order of their
+    /// racks.
+    pub(crate) fn candidates_by(
+        &self,
+        group: GroupKey,
+        reach: Reach,
+        ticket_use: TicketUse,
+        now_ms: u64,
+    ) -> Vec<Candidate> {
         let mut free_by_rack: Vec<i64> = self.racks.table();
         let mut candidates = Vec::with_capacity(self.workers.len());
         let joins_suspects = self.may_join_suspects(group, now_ms);
@@ -221,7 +242,11 @@
             }
             let free = worker.free();
             free_by_rack[worker.rack.index()] += free.accelerators.max(0);
-            if !self.is_eligible(group, worker) || !self.has_ticket(group, key, now_ms) {
+            let may_run = match ticket_use {
+                TicketUse::Required => self.has_ticket(group, key, now_ms),
+                TicketUse::Ignored => true,
+            };
+            if !self.is_eligible(group, worker) || !may_run {
                 continue;
             }
             let is_on_probation = worker.health.is_on_probation() && reach == Reach::Usual;
--- a/crates/scheduler/src/idle.rs
+++ b/crates/scheduler/src/idle.rs
@@ -68,10 +68,14 @@
             lines_left -= 1;
             job.is_idle_logged = true;
             let reason = reason.unwrap_or_else(|| self.find_waiting_reason(group, now_ms));
+            let advice = match reason {
+                IdleReason::NoTicket => format!("; {}", self.describe_advice(group, now_ms)),
+                _ => String::new(),
+            };
             let job = &self.jobs[key];
             let state = &job.groups[group.group as usize];
             let why = format!(
-                "{reason:?} after {idle_ms} ms: step {}, {} of {} tasks done, highest run {}",
+                "{reason:?} after {idle_ms} ms: step {}, {} of {} tasks done, highest run {}{advice}",
                 state.step,
                 state.tasks.iter().filter(|task| task.is_done()).count(),
                 state.tasks.len(),
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -46,6 +46,7 @@
 mod withdraw;
 mod worker;
 
+pub use advice::QueryKey;
 pub use configuration::{Advice, BodyLimits, Configuration, Denied, Organisation, Queue, Service};
 pub use counts::RunCounts;
 pub use crashes::CrashCounts;
--- a/crates/scheduler/src/orders.rs
+++ b/crates/scheduler/src/orders.rs
@@ -2,7 +2,8 @@
 
 use std::sync::Arc;
 
-use crate::group::{GroupKey, TaskKey};
+use crate::advice::QueryKey;
+use crate::group::TaskKey;
 use crate::policy::PolicyRecord;
 use crate::record::{JobRecord, RecordPart};
 use crate::task::{JobId, TaskName};
@@ -46,14 +47,20 @@
     },
     /// Ask the advice service which workers may run a step.
     Ask {
-        /// The tasks of the step in one occurrence.
-        group: GroupKey,
+        /// Key of the query.
+        query: QueryKey,
+        /// Name of the VM that sends it; empty for this one if no names were set.
+        caller: String,
         /// Name of the step, `ID.OCCURRENCE.STEP`.
         step: String,
-        /// The workers and their ids.
-        workers: Vec<(WorkerKey, String)>,
+        /// Ids of the workers.
+        workers: Vec<String>,
         /// How long the service takes for it, by its figures.
         expected_ms: u64,
+        /// How long an answer is waited for.
+        timeout_ms: u64,
+        /// Whether to use a new connection, since an earlier query of that VM was unanswered.
+        new_connection: bool,
     },
     /// Stop a run.
     Stop {
--- a/crates/scheduler/src/overdue.rs
+++ b/crates/scheduler/src/overdue.rs
@@ -99,7 +99,7 @@
     }
 
     /// Returns whether it is uncertain that a task of a job runs or is about to.
-    fn may_be_idle(&self, key: JobKey, now_ms: u64) -> bool {
+    pub(crate) fn may_be_idle(&self, key: JobKey, now_ms: u64) -> bool {
         let mut tasks = self.jobs[key].groups.iter().flat_map(|group| &group.tasks);
         !tasks.any(|task| match task.phase {
             Phase::Assigned(worker)
--- a/crates/scheduler/src/planner.rs
+++ b/crates/scheduler/src/planner.rs
@@ -4,6 +4,7 @@
 
 use slotmap::SlotMap;
 
+use crate::advice::{AllowedShare, Callers};
 use crate::configuration::{Advice, Configuration};
 use crate::counts::RunCounts;
 use crate::group::{GroupKey, JobKey, Phase, Task, TaskKey};
@@ -57,6 +58,10 @@
     pub(crate) guaranteed: HashMap<String, i64>,
     /// The policies of queues that have one.
     pub(crate) queue_advice: HashMap<String, Advice>,
+    /// The VMs that can send queries to the advice service.
+    pub(crate) advice_callers: Callers,
+    /// How many workers each queue with a policy was allowed lately.
+    pub(crate) allowed_shares: HashMap<String, AllowedShare>,
     pub(crate) workers: SlotMap<WorkerKey, Worker>,
     pub(crate) racks: Racks,
     /// Data centres whose workers get no new work because the operator evacuates them.
@@ -104,6 +109,8 @@
             limits,
             guaranteed: HashMap::new(),
             queue_advice: HashMap::new(),
+            advice_callers: Callers::default(),
+            allowed_shares: HashMap::new(),
             workers: SlotMap::with_key(),
             racks: Racks::default(),
             evacuated: Vec::new(),
--- a/crates/scheduler/src/restore.rs
+++ b/crates/scheduler/src/restore.rs
@@ -125,6 +125,11 @@
             match (worker, task.done) {
                 (Some(worker), false) => {
                     self.assign(key, worker, task.run, Phase::Inherited(worker), now_ms);
+                    if let Some(stored) = &task.worker {
+                        self.jobs[job].groups[group_index]
+                            .tickets
+                            .record_used(worker, stored.born_unix_ms);
+                    }
                     if let Some(restored) = self.task_mut(key) {
                         restored.inherited_unix_ms = record.placed_unix_ms;
                     }
--- a/crates/scheduler/src/schedule.rs
+++ b/crates/scheduler/src/schedule.rs
@@ -5,7 +5,8 @@
 use slotmap::SecondaryMap;
 
 use crate::fit::{
-    Candidate, find_best_candidate, find_places, find_places_on_one_rack, list_like_speeds,
+    Candidate, TicketUse, find_best_candidate, find_places, find_places_on_one_rack,
+    list_like_speeds,
 };
 use crate::group::{GroupKey, Phase, TaskKey};
 use crate::job::JobState;
@@ -19,7 +20,7 @@
 
 /// Capacity that a pass withholds from work that is not urgent, and what found no room in it.
 #[derive(Debug, Default)]
-struct Withheld {
+pub(crate) struct Withheld {
     /// Workers withheld for urgent groups that wait.
     workers: HashSet<WorkerKey>,
     /// Headroom on each worker; none until all waiting urgent groups were placed.
@@ -40,18 +41,20 @@
         let mut withheld = Withheld::default();
         let turns = self.list_turns(now_ms, unix_ms);
         let ready: Vec<GroupKey> = turns.iter().map(|turn| turn.claim.group).collect();
+        let mut waits_for_advice = Vec::new();
         for &group in &ready {
             if self.jobs[group.job].stored.priority != 0 {
                 withheld
                     .headroom
                     .get_or_insert_with(|| self.compute_headroom(now_ms));
             }
-            let reach = self.place_group(group, &mut withheld, now_ms);
+            self.place_group(group, &mut withheld, now_ms);
             withheld
                 .workers
                 .extend(self.preempt_for_group(group, now_ms));
-            self.request_advice(group, reach, now_ms);
+            waits_for_advice.extend(self.wait_for_advice(group, now_ms));
         }
+        self.request_advice(waits_for_advice, &withheld, now_ms);
         self.report_passed_over(&turns);
         let kept = Kept {
             workers: &withheld.workers,
@@ -65,14 +68,15 @@
     }
 
     /// Returns the candidates of a group, without the capacity that is withheld from it.
-    fn list_available_candidates(
+    pub(crate) fn list_available_candidates(
         &self,
         group: GroupKey,
         reach: Reach,
+        ticket_use: TicketUse,
         withheld: &Withheld,
         now_ms: u64,
     ) -> Vec<Candidate> {
-        let mut candidates = self.candidates(group, reach, now_ms);
+        let mut candidates = self.candidates_by(group, reach, ticket_use, now_ms);
         if reach == Reach::Anywhere || self.jobs[group.job].stored.priority == 0 {
             return candidates;
         }
@@ -89,15 +93,13 @@
         candidates
     }
 
-    /// Starts what fits of a group, and what is overdue wherever there is room. Returns where it may start.
-    fn place_group(&mut self, group: GroupKey, withheld: &mut Withheld, now_ms: u64) -> Reach {
+    /// Starts what fits of a group, and what is overdue wherever there is room.
+    fn place_group(&mut self, group: GroupKey, withheld: &mut Withheld, now_ms: u64) {
         self.place_within(group, Reach::Usual, usize::MAX, withheld, now_ms);
         let overdue = self.count_overdue(group, &mut withheld.idle_work, now_ms);
-        if overdue == 0 {
-            return Reach::Usual;
+        if overdue > 0 {
+            self.place_within(group, Reach::Anywhere, overdue, withheld, now_ms);
         }
-        self.place_within(group, Reach::Anywhere, overdue, withheld, now_ms);
-        Reach::Anywhere
     }
 
     /// Starts what fits of a group within its reach, single tasks up to a number.
@@ -161,7 +163,8 @@
         {
             return;
         }
-        let mut candidates = self.list_available_candidates(group, reach, withheld, now_ms);
+        let mut candidates =
+            self.list_available_candidates(group, reach, TicketUse::Required, withheld, now_ms);
         if let Some(rack) = &step.data_rack
             && !may_leave_rack
         {
@@ -250,7 +253,8 @@
         if withheld.unplaceable.covers(&shape) {
             return;
         }
-        let mut candidates = self.list_available_candidates(group, reach, withheld, now_ms);
+        let mut candidates =
+            self.list_available_candidates(group, reach, TicketUse::Required, withheld, now_ms);
         if let Some(rack) = step
             .data_rack
             .as_ref()
@@ -371,6 +375,7 @@
         let highest_run = job.groups[group.group as usize].highest_run();
         let shared_run = highest_run.saturating_add(1);
         job.groups[group.group as usize].placed_unix_ms = now_ms + self.unix_ahead_ms;
+        job.groups[group.group as usize].tickets.record_placed();
         if job.state == JobState::Pending {
             job.state = JobState::Running;
         }
--- a/crates/scheduler/src/turns.rs
+++ b/crates/scheduler/src/turns.rs
@@ -59,11 +59,13 @@
         let mut urgent = Vec::new();
         let jobs: Vec<JobKey> = self.jobs.keys().collect();
         for key in jobs {
+            let lead_ms = self.advice_lead_ms(key);
             let job = &mut self.jobs[key];
             if job.state.is_final() {
                 continue;
             }
-            job.build_due_occurrences(unix_ms + EARLY_START_MS, now_ms);
+            // Advice about the steps of an occurrence is asked for before it is due.
+            job.build_due_occurrences(unix_ms + EARLY_START_MS + lead_ms, now_ms);
             for group in 0..job.groups.len() {
                 let due = unix_ms + EARLY_START_MS
                     >= job
--- a/crates/scheduler/tests/advice.rs
+++ b/crates/scheduler/tests/advice.rs
@@ -1,134 +1,451 @@
-//! Queries to the advice service: how many workers they name, how long they are expected to take, and what follows one
-//! without an answer.
+//! Jobs that need advice start in time, whatever the figures of their queue, the jobs beside them, their steps and their
+//! width.
 //!
-//! Guards against LOST: a query takes longer than the planner waits for it and is repeated alike, so that no job of the
-//! queue starts.
+//! Guards against LOST: jobs wait for tickets for longer than the platform bears, or for ever, while workers are free.
 
 mod support;
 
 use rstest::rstest;
 use scheduler::prelude::*;
-use scheduler::{Advice, AdviceAnswer, BodyLimits, GroupKey, Queue};
-use support::{Harness, job, queue, starts, step};
+use scheduler::{Advice, JobId};
+use support::advice_site::{AdviceSite, Behaviour};
+use support::{entry, step};
 
-/// More workers than one query names.
-const WORKERS: u32 = 40;
+/// The platform lets a job have nothing running for this long while there is room for it.
+const LONGEST_IDLE_MS: u64 = 3_000;
 
-fn figures(decide_ms: u64, each_worker_ms: u64) -> Advice {
+/// Longer than any wait that is asked about.
+const LONG_MS: u64 = 60_000;
+
+/// The figures of review/10.
+fn figures() -> Advice {
+    advice(500, 200, 10_000)
+}
+
+fn advice(decide_ms: u64, each_worker_ms: u64, valid_ms: u64) -> Advice {
     Advice {
         decide_ms,
         each_worker_ms,
-        valid_ms: 10_000,
+        valid_ms,
     }
 }
 
-/// Returns a planner with a job that needs advice, by these figures at its acceptance.
-fn with_job(advice: Advice) -> Harness {
-    let mut harness = Harness::with_workers(WORKERS);
-    let stored = StoredJob {
-        advice: Some(advice),
-        ..job(1, 1, vec![step(1, 1)])
-    };
-    harness.planner.add_job(stored, 1, harness.now_ms);
-    harness
-}
-
-/// Puts a configuration in force in which the job's queue has these figures.
-fn configure(harness: &mut Harness, advice: Advice) {
-    harness.planner.set_configuration(&Configuration {
-        version: 2,
-        queues: vec![Queue {
-            advice: Some(advice),
-            ..queue(1)
-        }],
-        services: Vec::new(),
-        organisations: Vec::new(),
-        limits: BodyLimits { body_bytes: 1 },
-    });
-}
-
-/// Returns the group, the workers and the expected time of the next query.
-fn next_query(harness: &mut Harness) -> (GroupKey, Vec<WorkerKey>, u64) {
-    for _ in 0..10 {
-        harness.now_ms += 100;
-        for index in 0..WORKERS as usize {
-            harness.report(index, vec![], vec![]);
-        }
-        if let [
-            Order::Ask {
-                group,
-                workers,
-                expected_ms,
-                ..
-            },
-        ] = harness.plan().as_slice()
-        {
-            let keys = workers.iter().map(|(key, _)| *key).collect();
-            return (*group, keys, *expected_ms);
+fn gang(count: u32) -> StepSpec {
+    StepSpec {
+        gang: true,
+        ..step(count, 8)
+    }
+}
+
+fn after(before: u32, spec: StepSpec) -> StepSpec {
+    StepSpec {
+        after: vec![before],
+        ..spec
+    }
+}
+
+/// Returns how long each of these jobs, accepted at the same time, waits for its first start.
+fn play_starts(site: &mut AdviceSite, jobs: &[JobId], for_ms: u64) -> Vec<Option<u64>> {
+    let from_ms = site.harness.now_ms;
+    site.play(for_ms);
+    let first = |id| site.first_start_ms.get(id).map(|at_ms| at_ms - from_ms);
+    jobs.iter().map(first).collect()
+}
+
+fn assert_all_within(waits: &[Option<u64>], limit_ms: u64) {
+    let is_in_time = |wait: &Option<u64>| wait.is_some_and(|ms| ms <= limit_ms);
+    assert!(waits.iter().all(is_in_time), "{waits:?}");
+}
+
+#[rstest]
+#[case::figures_of_review_10(figures())]
+#[case::quick(advice(60, 8, 3_000))]
+#[case::all_zero(advice(0, 0, 3_000))]
+#[case::slow_for_each_worker(advice(0, 2_000, 10_000))]
+#[case::slow_decision(advice(2_000, 200, 10_000))]
+#[case::tickets_valid_for_moments(advice(500, 200, 100))]
+fn single_job_starts_in_time(#[case] figures: Advice, #[values(1, 3, 7)] callers: usize) {
+    let mut site = AdviceSite::new(25, callers, figures);
+    let id = site.submit(1, vec![step(1, 1)]);
+    let wait_ms = site.wait_for_start(id, LONG_MS);
+    assert!(
+        wait_ms.is_some_and(|ms| ms <= LONGEST_IDLE_MS),
+        "{wait_ms:?}"
+    );
+    assert_eq!(site.refused, 0);
+}
+
+/// The service decides on each VM's queries in turn, so as many jobs start in time as it can decide on.
+#[rstest]
+#[case::one_vm(1, 3)]
+#[case::three_vms(3, 9)]
+#[case::seven_vms(7, 21)]
+fn jobs_accepted_at_once_start_in_time(#[case] callers: usize, #[case] count: usize) {
+    let mut site = AdviceSite::new(25, callers, figures());
+    let jobs: Vec<JobId> = (0..count)
+        .map(|_| site.submit(1, vec![step(1, 1)]))
+        .collect();
+    let waits = play_starts(&mut site, &jobs, LONGEST_IDLE_MS);
+    assert_all_within(&waits, LONGEST_IDLE_MS);
+}
+
+/// With more jobs than the service can decide on in time, none waits longer than its turn takes.
+#[test]
+fn many_jobs_wait_for_their_turn_only() {
+    let mut site = AdviceSite::new(25, 3, figures());
+    let jobs: Vec<JobId> = (0..40).map(|_| site.submit(1, vec![step(1, 1)])).collect();
+    let waits = play_starts(&mut site, &jobs, LONG_MS);
+    let rounds = 40_u64.div_ceil(3);
+    assert_all_within(&waits, rounds * (700 + 60));
+    assert_eq!(site.asked.len(), 40, "one query for each job");
+}
+
+#[rstest]
+#[case::one_vm(1)]
+#[case::three_vms(3)]
+fn steps_follow_each_other_in_time(#[case] callers: usize) {
+    let mut site = AdviceSite::new(25, callers, figures());
+    site.run_ms = 4_000;
+    let steps = vec![
+        step(2, 1),
+        after(0, step(3, 1)),
+        after(1, step(1, 8)),
+        after(2, step(2, 8)),
+    ];
+    let id = site.submit(1, steps);
+    site.play(LONG_MS / 2);
+    assert_eq!(site.starts.len(), 8);
+    assert!(
+        site.longest_gap_ms(id) <= 1_000,
+        "{}",
+        site.longest_gap_ms(id)
+    );
+}
+
+/// A query takes longer than a job may wait, so a step has to be asked about while the step before it runs.
+#[test]
+fn steps_follow_each_other_although_decisions_are_slow() {
+    let mut site = AdviceSite::new(25, 3, advice(4_000, 100, 10_000));
+    site.run_ms = 9_000;
+    let steps = vec![step(1, 1), after(0, step(1, 1)), after(1, step(1, 1))];
+    let id = site.submit(1, steps);
+    site.play(LONG_MS);
+    assert_eq!(site.starts.len(), 3);
+    assert!(
+        site.longest_gap_ms(id) <= LONGEST_IDLE_MS,
+        "{}",
+        site.longest_gap_ms(id)
+    );
+}
+
+/// Returns the least time in which the tickets of a gang can be had: all its workers, in equal parts, by all VMs at once.
+fn least_ms(figures: &Advice, width: u64, callers: u64) -> u64 {
+    figures.decide_ms + figures.each_worker_ms * width.div_ceil(callers)
+}
+
+#[rstest]
+#[case::narrow(4, figures())]
+#[case::wide(40, figures())]
+#[case::tickets_hold_for_less_than_all_take(40, advice(500, 200, 3_000))]
+#[case::tickets_hold_for_moments(40, advice(500, 200, 400))]
+#[case::wider_than_one_query(110, advice(100, 20, 3_000))]
+fn gang_starts_whole(
+    #[case] width: u32,
+    #[case] figures: Advice,
+    #[values(1, 2, 7)] callers: usize,
+) {
+    let mut site = AdviceSite::new(120, callers, figures);
+    let id = site.submit(1, vec![gang(width)]);
+    let wait_ms = site.wait_for_start(id, LONG_MS);
+    let least_ms = least_ms(&figures, u64::from(width), callers as u64);
+    // Short queries, which don't hold other jobs up, take longer altogether than one long one for each VM.
+    assert!(
+        wait_ms.is_some_and(|ms| ms <= 3 * least_ms),
+        "{wait_ms:?}, least {least_ms}"
+    );
+    site.play(200);
+    assert_eq!((site.starts.len(), site.refused), (width as usize, 0));
+}
+
+/// Half of the workers are forbidden, so that the gang needs all others, and the tickets of those found first expire
+/// before the last is found.
+#[rstest]
+fn gang_starts_although_many_are_forbidden(
+    #[values(600, 3_000, 10_000)] valid_ms: u64,
+    #[values(1, 3, 7)] callers: usize,
+) {
+    let mut site = AdviceSite::new(60, callers, advice(200, 100, valid_ms));
+    site.allow_only(&(0..60).filter(|number| number % 2 == 1).collect::<Vec<_>>());
+    let id = site.submit(1, vec![gang(30)]);
+    let wait_ms = site.wait_for_start(id, LONG_MS);
+    assert!(wait_ms.is_some(), "never started");
+    site.play(200);
+    assert_eq!(site.starts.len(), 30);
+}
+
+/// Whichever worker is the only one allowed is found about as soon as all VMs can ask about all.
+#[rstest]
+fn only_allowed_worker_is_found(#[values(0, 12, 24)] number: u32) {
+    let mut site = AdviceSite::new(25, 7, figures());
+    site.allow_only(&[number]);
+    let first = site.submit(1, vec![step(1, 1)]);
+    let wait_ms = site.wait_for_start(first, LONG_MS).unwrap();
+    // Nothing is known of the queue's policy yet, so few workers are asked about at first.
+    assert!(
+        wait_ms <= 2 * least_ms(&figures(), 25, 7) + 700,
+        "{wait_ms}"
+    );
+    let second = site.submit(1, vec![step(1, 1)]);
+    let wait_ms = site.wait_for_start(second, LONG_MS).unwrap();
+    assert!(wait_ms <= LONGEST_IDLE_MS, "{wait_ms}");
+}
+
+/// A wide gang asks for long; jobs that come meanwhile wait for the query in flight and for their own.
+#[rstest]
+#[case::two_vms(2)]
+#[case::three_vms(3)]
+#[case::seven_vms(7)]
+fn small_jobs_start_in_time_beside_gang(#[case] callers: usize) {
+    let mut site = AdviceSite::new(60, callers, figures());
+    let large = site.submit(1, vec![gang(40)]);
+    let mut waits = Vec::new();
+    for _ in 0..8 {
+        site.play(300);
+        let small = site.submit(1, vec![step(1, 1)]);
+        waits.push(site.wait_for_start(small, LONG_MS));
+    }
+    assert_all_within(&waits, LONGEST_IDLE_MS);
+    assert!(site.wait_for_start(large, LONG_MS).is_some());
+}
+
+/// A gang is not put off for ever by small jobs that keep the service busy.
+#[rstest]
+#[case::one_vm(1)]
+#[case::three_vms(3)]
+fn gang_starts_beside_steady_small_jobs(#[case] callers: usize) {
+    let mut site = AdviceSite::new(60, callers, figures());
+    site.run_ms = 5_000;
+    let large = site.submit(1, vec![gang(20)]);
+    for _ in 0..LONG_MS / 700 {
+        for _ in 0..callers {
+            site.submit(1, vec![step(1, 1)]);
         }
+        site.play(700);
     }
-    panic!("no query");
+    assert!(site.first_start_ms.contains_key(&large));
 }
 
-fn answer(harness: &mut Harness, group: GroupKey, asked: &[WorkerKey], answer: Option<&str>) {
-    let answer = answer.map(|id| AdviceAnswer {
-        allowed: vec![(id.to_string(), "ticket".to_string())],
-        valid_ms: 10_000,
-        received_ms: harness.now_ms,
-    });
-    harness
-        .planner
-        .apply_advice(group, asked, answer, harness.now_ms);
+/// One VM is kept from long queries, so that jobs of a quick queue don't wait for those of a slow one.
+#[test]
+fn quick_queue_does_not_wait_for_slow_one() {
+    let quick = advice(60, 8, 3_000);
+    let mut site = AdviceSite::new(25, 3, quick);
+    let slow = advice(30_000, 100, 60_000);
+    for _ in 0..10 {
+        site.submit_to("slow", slow, 1, vec![step(1, 1)]);
+    }
+    // The simulated service decides by the figures of the quick queue; the silence stands for the slow decisions.
+    site.silent = ["vm-0", "vm-1"].map(str::to_string).into();
+    site.play(500);
+    let id = site.submit(1, vec![step(1, 1)]);
+    let wait_ms = site.wait_for_start(id, LONG_MS);
+    assert!(
+        wait_ms.is_some_and(|ms| ms <= LONGEST_IDLE_MS),
+        "{wait_ms:?}"
+    );
 }
 
+#[test]
+fn urgent_job_is_asked_about_first() {
+    let mut site = AdviceSite::new(25, 1, figures());
+    let others: Vec<JobId> = (0..10).map(|_| site.submit(1, vec![step(1, 1)])).collect();
+    site.play(100);
+    let urgent = site.submit(0, vec![step(1, 1)]);
+    let wait_ms = site.wait_for_start(urgent, LONG_MS);
+    // The query in flight, and its own.
+    assert!(wait_ms.is_some_and(|ms| ms <= 700 + 700), "{wait_ms:?}");
+    let waits = play_starts(&mut site, &[], LONG_MS);
+    assert!(waits.is_empty());
+    assert!(others.iter().all(|id| site.first_start_ms.contains_key(id)));
+}
+
+#[test]
+fn cancelled_job_is_no_longer_asked_about() {
+    let mut site = AdviceSite::new(25, 1, figures());
+    let jobs: Vec<JobId> = (0..10).map(|_| site.submit(1, vec![step(1, 1)])).collect();
+    site.play(100);
+    let now_ms = site.harness.now_ms;
+    for id in &jobs {
+        site.harness.planner.cancel_job(*id, now_ms);
+    }
+    let next = site.submit(1, vec![step(1, 1)]);
+    let wait_ms = site.wait_for_start(next, LONG_MS);
+    assert!(wait_ms.is_some_and(|ms| ms <= 700 + 700), "{wait_ms:?}");
+    assert_eq!(site.asked.len(), 2);
+}
+
+/// A VM whose queries get no answer does not hold a job up: others ask about the same workers.
 #[rstest]
-#[case::quick(60, 8, 30, 300)]
-#[case::all_figures_zero(0, 0, 30, 0)]
-#[case::slow_for_each_worker(500, 200, 22, 4_900)]
-#[case::one_worker_is_too_slow(0, 9_000, 1, 9_000)]
-#[case::slow_decision(8_000, 100, 30, 11_000)]
-#[case::absurd(u64::MAX, u64::MAX, 1, u64::MAX)]
-fn query_names_as_many_workers_as_take_some_seconds(
-    #[case] decide_ms: u64,
-    #[case] each_worker_ms: u64,
-    #[case] workers: usize,
-    #[case] expected_ms: u64,
+fn job_starts_although_vms_get_no_answer(#[values(1, 2)] silent: usize) {
+    let mut site = AdviceSite::new(25, 3, figures());
+    site.silent = (0..silent).map(|number| format!("vm-{number}")).collect();
+    let id = site.submit(1, vec![step(1, 1)]);
+    let wait_ms = site.wait_for_start(id, LONG_MS);
+    let one_ms = 700 + 400 + 100;
+    assert!(
+        wait_ms.is_some_and(|ms| ms <= (silent as u64 + 1) * one_ms),
+        "{wait_ms:?}"
+    );
+    if silent == 1 {
+        assert!(
+            wait_ms.is_some_and(|ms| ms <= LONGEST_IDLE_MS),
+            "{wait_ms:?}"
+        );
+    }
+}
+
+/// The service may be slower than its figures say for as long as it likes.
+#[rstest]
+fn job_starts_although_service_is_slower_than_its_figures(
+    #[values(2, 5, 20)] factor: u64,
+    #[values(1, 3)] callers: usize,
 ) {
-    let mut harness = with_job(figures(decide_ms, each_worker_ms));
-    let (_, asked, expected) = next_query(&mut harness);
-    assert_eq!((asked.len(), expected), (workers, expected_ms));
+    let mut site = AdviceSite::new(25, callers, figures());
+    site.behaviour = Behaviour::Slow(factor);
+    let id = site.submit(1, vec![step(1, 1)]);
+    let wait_ms = site.wait_for_start(id, 10 * LONG_MS);
+    assert!(
+        wait_ms.is_some_and(|ms| ms <= factor * 700 + LONGEST_IDLE_MS),
+        "{wait_ms:?}"
+    );
+}
+
+#[rstest]
+#[case::busy(Behaviour::Busy)]
+#[case::silent(Behaviour::Silent)]
+fn jobs_start_once_service_answers_again(#[case] behaviour: Behaviour) {
+    let mut site = AdviceSite::new(25, 3, figures());
+    site.behaviour = behaviour;
+    let jobs: Vec<JobId> = (0..3).map(|_| site.submit(1, vec![step(1, 1)])).collect();
+    site.play(9_000);
+    assert!(site.asked.len() <= 60, "{} queries", site.asked.len());
+    site.behaviour = Behaviour::Usual;
+    let waits = play_starts(&mut site, &jobs, 14_000);
+    assert_all_within(&waits, 14_000);
+}
+
+/// Nothing is asked again once all workers are known to be forbidden; new workers are.
+#[test]
+fn step_that_is_forbidden_everywhere_is_asked_about_once() {
+    let mut site = AdviceSite::new(25, 3, figures());
+    site.allow_only(&[]);
+    let id = site.submit(1, vec![step(1, 1)]);
+    site.play(LONG_MS);
+    let named: usize = site.asked.iter().map(|asked| asked.workers.len()).sum();
+    assert_eq!(named, 25);
+    assert!(!site.first_start_ms.contains_key(&id));
+}
+
+/// While there is no room, tickets are not renewed for work that may not preempt other.
+#[test]
+fn full_site_is_not_asked_about() {
+    let mut site = AdviceSite::new(5, 1, figures());
+    site.submit(1, vec![step(5, 8)]);
+    site.play(10_000);
+    assert_eq!(site.starts.len(), 5);
+    let asked = site.asked.len();
+    site.submit(1, vec![step(3, 8)]);
+    site.play(30_000);
+    assert_eq!(site.asked.len(), asked);
+}
+
+/// The next incarnation of a worker may be of another kind, and no ticket holds for it.
+#[test]
+fn restarted_worker_is_asked_about_again() {
+    let mut site = AdviceSite::new(1, 1, figures());
+    site.allow_only(&[]);
+    let id = site.submit(1, vec![step(1, 1)]);
+    site.play(5_000);
+    assert_eq!(site.asked.len(), 1);
+    site.forbidden.clear();
+    let again = WorkerEntry {
+        born_unix_ms: 2_000,
+        ..entry(0)
+    };
+    site.harness.list(vec![again]);
+    site.harness.report_as(0, 2_000, vec![], vec![]);
+    let wait_ms = site.wait_for_start(id, LONG_MS);
+    assert!(
+        wait_ms.is_some_and(|ms| ms <= LONGEST_IDLE_MS),
+        "{wait_ms:?}"
+    );
 }
 
 /// The operator changes the figures after the job was accepted.
 #[rstest]
-#[case::slower(figures(60, 8), figures(500, 200), 22, 4_900)]
-#[case::quicker(figures(500, 200), figures(60, 8), 30, 300)]
+#[case::slower(advice(60, 8, 10_000), advice(500, 200, 10_000), 4_100)]
+#[case::quicker(advice(500, 200, 10_000), advice(60, 8, 10_000), 204)]
 fn query_goes_by_figures_in_force(
     #[case] accepted: Advice,
     #[case] in_force: Advice,
-    #[case] workers: usize,
-    #[case] expected_ms: u64,
+    #[case] most_ms: u64,
 ) {
-    let mut harness = with_job(accepted);
-    configure(&mut harness, in_force);
-    let (_, asked, expected) = next_query(&mut harness);
-    assert_eq!((asked.len(), expected), (workers, expected_ms));
+    let mut site = AdviceSite::new(40, 1, in_force);
+    site.submit_to("queue", accepted, 1, vec![step(18, 8)]);
+    let orders = site.harness.plan();
+    let [
+        Order::Ask {
+            expected_ms,
+            workers,
+            ..
+        },
+    ] = orders.as_slice()
+    else {
+        panic!("expected one query: {orders:?}")
+    };
+    assert_eq!(*expected_ms, in_force.query_ms(workers.len()));
+    assert!(*expected_ms <= most_ms, "{expected_ms}");
 }
 
-/// The service may be slower than its figures say.
-#[test]
-fn query_without_answer_is_followed_by_smaller_ones() {
-    let mut harness = with_job(figures(60, 8));
-    for expected in [30, 15, 7, 3, 1, 1, 1] {
-        let (group, asked, _) = next_query(&mut harness);
-        assert_eq!(asked.len(), expected);
-        answer(&mut harness, group, &asked, None);
+/// A worker with a ticket for a gang may be taken by a smaller job before the last ticket is there.
+#[rstest]
+fn urgent_gang_starts_beside_job_that_takes_one_of_its_workers(#[values(1, 3)] callers: usize) {
+    let mut site = AdviceSite::new(25, callers, figures());
+    let large = site.submit(0, vec![gang(20)]);
+    site.play(300);
+    let small = site.submit(0, vec![step(1, 1)]);
+    let wait_ms = site.wait_for_start(small, LONG_MS);
+    assert!(wait_ms.is_some());
+    assert!(site.wait_for_start(large, LONG_MS).is_some());
+}
+
+/// Work whose data is on a rack without room, or without allowed workers, is asked about elsewhere in time.
+#[rstest]
+#[case::no_room(true)]
+#[case::forbidden(false)]
+fn work_starts_away_from_its_data_in_time(#[case] is_full: bool) {
+    let mut site = AdviceSite::new(24, 1, figures());
+    let on_rack = |spec| StepSpec {
+        data_rack: Some("rack-0".to_string()),
+        ..spec
+    };
+    match is_full {
+        true => {
+            site.submit(1, vec![on_rack(step(8, 8))]);
+            site.play(10_000);
+            assert_eq!(site.starts.len(), 8);
+        }
+        false => site.allow_only(&(8..24).collect::<Vec<_>>()),
     }
-    let (group, asked, _) = next_query(&mut harness);
-    answer(&mut harness, group, &asked, Some("i-none"));
-    let (group, asked, _) = next_query(&mut harness);
-    assert_eq!(asked.len(), 30, "the service answers again");
-    let allowed = harness.planner.entry(asked[0]).unwrap().id.clone();
-    answer(&mut harness, group, &asked, Some(&allowed));
-    assert_eq!(starts(&harness.plan()).len(), 1);
+    let id = site.submit(1, vec![on_rack(step(1, 8))]);
+    let wait_ms = site.wait_for_start(id, LONG_MS);
+    // All workers of the rack are asked about first.
+    let least_ms = match is_full {
+        true => 700,
+        false => 500 + 8 * 200 + 700,
+    };
+    assert!(
+        wait_ms.is_some_and(|ms| ms <= LONGEST_IDLE_MS + least_ms),
+        "{wait_ms:?}"
+    );
 }
--- a/crates/scheduler/tests/extreme_figures.rs
+++ b/crates/scheduler/tests/extreme_figures.rs
@@ -113,17 +113,17 @@
     };
     harness.planner.add_job(stored, 1, harness.now_ms);
     let orders = harness.plan();
-    let [Order::Ask { group, workers, .. }] = orders.as_slice() else {
+    let [Order::Ask { query, workers, .. }] = orders.as_slice() else {
         panic!("expected one advice query: {orders:?}")
     };
     let answer = AdviceAnswer {
-        allowed: vec![(workers[0].1.clone(), "ticket".to_string())],
+        allowed: vec![(workers[0].clone(), "ticket".to_string())],
         valid_ms: u64::MAX,
         received_ms: harness.now_ms,
     };
     harness
         .planner
-        .apply_advice(*group, &[workers[0].0], Some(answer), harness.now_ms);
+        .apply_advice(*query, Some(answer), harness.now_ms);
     assert_eq!(starts(&harness.plan()).len(), 1);
 }
 
--- a/crates/scheduler/tests/idle_beside_quarantine.rs
+++ b/crates/scheduler/tests/idle_beside_quarantine.rs
@@ -112,11 +112,10 @@
         let names = starts(&orders);
         started += names.iter().filter(|(n, _)| n.starts_with(&last)).count();
         for order in orders {
-            let Order::Ask { group, workers, .. } = order else {
+            let Order::Ask { query, workers, .. } = order else {
                 continue;
             };
-            let asked: Vec<_> = workers.iter().map(|(key, _)| *key).collect();
-            let ticket = |(_, id): (_, String)| (id, "ticket".to_string());
+            let ticket = |id: String| (id, "ticket".to_string());
             let answer = AdviceAnswer {
                 allowed: workers.into_iter().map(ticket).collect(),
                 valid_ms: 5_000,
@@ -125,7 +124,7 @@
             let now_ms = site.harness.now_ms;
             site.harness
                 .planner
-                .apply_advice(group, &asked, Some(answer), now_ms);
+                .apply_advice(query, Some(answer), now_ms);
         }
     }
     assert_eq!(started, 1);
--- a/crates/scheduler/tests/placing.rs
+++ b/crates/scheduler/tests/placing.rs
@@ -345,7 +345,7 @@
     let orders = harness.plan();
     let [
         Order::Ask {
-            group,
+            query,
             step,
             workers,
             ..
@@ -358,8 +358,8 @@
         (step.as_str(), workers.len()),
         (format!("{:016x}.0.0", 1).as_str(), 3)
     );
-    let keys: Vec<WorkerKey> = workers.iter().map(|(key, _)| *key).collect();
-    let allowed = vec![(workers[1].1.clone(), "ticket-1".to_string())];
+    let keys: Vec<WorkerKey> = harness.workers.clone();
+    let allowed = vec![("i-1".to_string(), "ticket-1".to_string())];
     let answer = AdviceAnswer {
         allowed,
         valid_ms: 3_000,
@@ -367,7 +367,7 @@
     };
     harness
         .planner
-        .apply_advice(*group, &keys, Some(answer), harness.now_ms);
+        .apply_advice(*query, Some(answer), harness.now_ms);
     let started = harness.plan();
     let [Order::Start { worker, ticket, .. }] = started.as_slice() else {
         panic!("expected one start: {started:?}")
@@ -389,10 +389,10 @@
     };
     harness.planner.add_job(stored, 1, harness.now_ms);
     let orders = harness.plan();
-    let [Order::Ask { group, workers, .. }] = orders.as_slice() else {
+    let [Order::Ask { query, workers, .. }] = orders.as_slice() else {
         panic!("expected one advice query")
     };
-    let allowed = vec![(workers[0].1.clone(), "old".to_string())];
+    let allowed = vec![(workers[0].clone(), "old".to_string())];
     let answer = AdviceAnswer {
         allowed,
         valid_ms: 100,
@@ -400,7 +400,8 @@
     };
     harness
         .planner
-        .apply_advice(*group, &[workers[0].0], Some(answer), harness.now_ms);
+        .apply_advice(*query, Some(answer), harness.now_ms);
+    harness.now_ms += 100;
     let after = harness.plan();
     assert!(matches!(after.as_slice(), [Order::Ask { .. }]), "{after:?}");
 }
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+pub mod advice_site;
 pub mod crash_site;
 pub mod crest;
 pub mod idle_site;
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -4,11 +4,11 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use platform_standin::{Caller, Reply, StepSpec, declared_queues, steady_ms};
+use platform_standin::{Caller, Reply, declared_queues, steady_ms};
 use tokio::sync::watch;
 use tokio::time::sleep;
 
-use crate::plan::PlannedJob;
+use crate::plan::{JobCall, PlannedJob};
 use crate::site::{KEY, NODES, Site, lock};
 
 /// Time between two attempts.
@@ -20,6 +20,13 @@
 /// The key that is withdrawn by the operator.
 pub(crate) const WITHDRAWN_KEY: &str = "other-key";
 
+/// What calls about no job name.
+const NO_JOB: JobCall<'static> = JobCall {
+    prefix: "",
+    id: "",
+    steps: &[],
+};
+
 /// What a call asked for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Asked {
@@ -82,21 +89,15 @@
         lock(&self.calls).clone()
     }
 
-    async fn call(
-        &self,
-        site: &Site,
-        node: usize,
-        job: (&str, &[StepSpec]),
-        asked: Asked,
-    ) -> Reply {
-        let (job, steps) = job;
+    async fn call(&self, site: &Site, node: usize, job: JobCall<'_>, asked: Asked) -> Reply {
+        let JobCall { prefix, id, steps } = job;
         let (sent_ms, at) = (steady_ms(), node % NODES);
         let address = site.nodes[at].callers;
         let incarnation = site.nodes[at].incarnation.load(Ordering::SeqCst);
         let reply = match asked {
-            Asked::Submit => self.caller.submit(address, job, steps).await,
-            Asked::State => self.caller.state(address, job).await,
-            Asked::Cancel => self.caller.cancel(address, job).await,
+            Asked::Submit => self.caller.submit(address, prefix, id, steps).await,
+            Asked::State => self.caller.state(address, prefix, id).await,
+            Asked::Cancel => self.caller.cancel(address, prefix, id).await,
             Asked::Mark(version) => self.caller.count(address, &format!("/v-{version}/")).await,
             Asked::WithdrawnKey => self.withdrawn.count(address, "/q/").await,
         };
@@ -105,7 +106,7 @@
             answered_ms: steady_ms(),
             node: at,
             incarnation,
-            job: job.to_string(),
+            job: id.to_string(),
             asked,
             reply: reply.clone(),
         });
@@ -131,7 +132,7 @@
             }
             let calls = asked
                 .iter()
-                .flat_map(|asked| (0..NODES).map(|node| self.call(&site, node, ("", &[]), *asked)));
+                .flat_map(|asked| (0..NODES).map(|node| self.call(&site, node, NO_JOB, *asked)));
             // Nodes that don't answer hold nobody up but this round.
             futures::future::join_all(calls).await;
             sleep(ASK_GAP).await;
@@ -226,7 +227,7 @@
         };
         let mut marks = vec![1, version];
         marks.extend(before.iter().map(|confirmed| confirmed.version));
-        let text = declared_queues(version, keys, &marks);
+        let text = declared_queues(version, keys, &marks, site.policy.as_ref());
         site.note(format!("the operator writes version {version}"));
         while !site.write_to_store("op/config", Some(&text)).await {
             sleep(RETRY_GAP).await;
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 
-use platform_standin::{Note, Reply, StepSpec, WorkerEvent};
+use platform_standin::{AdvicePolicy, Note, Reply, StepSpec, WorkerEvent};
 
 use crate::callers::{Asked, CallRecord, Confirmed};
 use crate::site::Incident;
@@ -42,6 +42,8 @@
     pub calls: Vec<CallRecord>,
     /// The steps of each job that callers have; each step comes after the one before it.
     pub steps: BTreeMap<String, Vec<StepSpec>>,
+    /// The policies of the jobs whose queue has one.
+    pub advised: BTreeMap<String, AdvicePolicy>,
     /// The versions of the configuration.
     pub confirmed: Vec<Confirmed>,
     /// The faults as carried out.
--- a/crates/soak/src/failures.rs
+++ b/crates/soak/src/failures.rs
@@ -74,6 +74,7 @@
     };
     PlannedJob {
         at_ms,
+        is_advised: false,
         id: format!("{:016x}", random.random::<u64>()),
         steps: vec![gang],
         node: random.random_range(0..1_000),
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -9,6 +9,7 @@
 use serde_json::json;
 use tokio::time::{sleep, timeout};
 
+use crate::advice::advice_fault;
 use crate::callers::Operator;
 use crate::check::open_runs;
 use crate::link::LinkState;
@@ -44,6 +45,12 @@
         | FaultKind::StoreLosesAnswers
         | FaultKind::StoreLate
         | FaultKind::StoreSilent => harm_store(&site, &fault).await,
+        FaultKind::AdviceSilent | FaultKind::AdviceSlow | FaultKind::AdviceBusy => {
+            note_begin(&site, &fault, "the advice service");
+            let lasts = Duration::from_millis(fault.for_ms);
+            site.harm_advice(advice_fault(&fault), lasts).await;
+            Ok("the advice service".to_string())
+        }
         FaultKind::WorkersFail => Ok(let_workers_fail(&site, &fault).await),
         FaultKind::Configuration => Ok(operator.change(&site, false).await),
         FaultKind::KeyWithdrawn => Ok(operator.change(&site, true).await),
--- a/crates/soak/src/idle.rs
+++ b/crates/soak/src/idle.rs
@@ -46,17 +46,18 @@
             .filter(|at_ms| (judged_ms..self.end_ms).contains(at_ms))
             .chain((judged_ms < self.end_ms).then_some(judged_ms))
             .collect();
-        let moments: Vec<(u64, Room)> = changes_ms
+        let moments: Vec<(u64, BTreeMap<&str, Room>)> = changes_ms
             .into_iter()
-            .map(|at_ms| (at_ms, self.room(runs, at_ms)))
+            .map(|at_ms| (at_ms, self.rooms(runs, at_ms)))
             .collect();
         for (job, steps) in &self.steps {
             if !self.is_owed(job) || self.has_used_up_attempts(job, runs) {
                 continue;
             }
             let mut idle: Option<(u64, String)> = None;
-            for (at_ms, room) in &moments {
-                match idle_task(runs, job, steps, *at_ms, *room) {
+            for (at_ms, rooms) in &moments {
+                let room = self.sum_rooms(job, rooms);
+                match idle_task(runs, job, steps, *at_ms, room) {
                     Some(task) => idle = idle.or(Some((*at_ms, task))),
                     None if idle
                         .as_ref()
@@ -80,8 +81,8 @@
         }
     }
 
-    /// Returns what workers that are up and take work have left.
-    fn room(&self, runs: &BTreeMap<String, Vec<Run>>, at_ms: u64) -> Room {
+    /// Returns what each worker that is up and takes work has left.
+    fn rooms(&self, runs: &BTreeMap<String, Vec<Run>>, at_ms: u64) -> BTreeMap<&str, Room> {
         let mut up: BTreeMap<&str, bool> = BTreeMap::new();
         for note in self.notes.iter().take_while(|note| note.at_ms <= at_ms) {
             match note.event {
@@ -96,18 +97,35 @@
         for run in runs.values().flatten().filter(|run| run.is_on(at_ms)) {
             *used.entry(&run.worker).or_default() += 1;
         }
-        let mut room = Room {
+        let up = up.into_iter().filter(|(_, up)| *up);
+        up.map(|(worker, _)| {
+            let used = used.get(worker).copied().unwrap_or(0);
+            let room = Room {
+                total: WORKER_ACCELERATORS,
+                used,
+                free: WORKER_ACCELERATORS.saturating_sub(used),
+            };
+            (worker, room)
+        })
+        .collect()
+    }
+
+    /// Returns what all workers have left together for a job: of the free room, that of the workers that it may run on.
+    fn sum_rooms(&self, job: &str, rooms: &BTreeMap<&str, Room>) -> Room {
+        let policy = self.advised.get(job);
+        let mut sum = Room {
             total: 0,
             used: 0,
             free: 0,
         };
-        for (worker, _) in up.iter().filter(|(_, up)| **up) {
-            let used = used.get(worker).copied().unwrap_or(0);
-            room.total += WORKER_ACCELERATORS;
-            room.used += used;
-            room.free += WORKER_ACCELERATORS.saturating_sub(used);
+        for (worker, room) in rooms {
+            sum.total += room.total;
+            sum.used += room.used;
+            if policy.is_none_or(|policy| policy.allows(job, worker)) {
+                sum.free += room.free;
+            }
         }
-        room
+        sum
     }
 
     /// Returns whether a job was accepted and nobody has tried to cancel it.
--- a/crates/soak/src/outages.rs
+++ b/crates/soak/src/outages.rs
@@ -125,6 +125,7 @@
         .collect();
     PlannedJob {
         at_ms,
+        is_advised: false,
         id: format!("{:016x}", random.random::<u64>()),
         steps,
         node: random.random_range(0..1_000),
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -1,11 +1,12 @@
 //! What a play does, drawn from one seed: faults with their times, and jobs with their callers' habits.
 
-use platform_standin::StepSpec;
+use platform_standin::{ADVISED_PREFIX, AdvicePolicy, StepSpec};
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 use strum::{Display, EnumIter, EnumString, IntoEnumIterator};
 
+use crate::advice::draw_advised_queue;
 use crate::failures::draw_failures;
 use crate::outages::draw_outages;
 
@@ -30,6 +31,9 @@
 /// The same for times in which workers fail.
 const FAILURES_SEQUENCE: u64 = 2;
 
+/// The same for a queue with an advice policy.
+const ADVISED_SEQUENCE: u64 = 3;
+
 /// Probability that a burst goes on after a job.
 const BURST_GOES_ON: f64 = 0.75;
 
@@ -105,6 +109,12 @@
     WorkerLostForGood,
     /// Several workers fail what they start.
     WorkersFail,
+    /// The advice service answers no query.
+    AdviceSilent,
+    /// The advice service is slower than its figures say.
+    AdviceSlow,
+    /// The advice service refuses queries.
+    AdviceBusy,
 }
 
 impl FaultKind {
@@ -113,6 +123,17 @@
         FaultKind::iter().collect()
     }
 
+    /// Returns whether it is drawn with the jobs that it concerns, not among the others.
+    fn is_drawn_apart(self) -> bool {
+        matches!(
+            self,
+            FaultKind::WorkersFail
+                | FaultKind::AdviceSilent
+                | FaultKind::AdviceSlow
+                | FaultKind::AdviceBusy
+        )
+    }
+
     /// Returns the shortest and longest time that such a fault lasts, in milliseconds.
     fn lasts_ms(self) -> (u64, u64) {
         match self {
@@ -154,6 +175,8 @@
     pub id: String,
     /// Its steps.
     pub steps: Vec<StepSpec>,
+    /// Whether its queue has an advice policy.
+    pub is_advised: bool,
     /// The node that is asked first.
     pub node: usize,
     /// How often its caller tries to hand it in.
@@ -166,11 +189,29 @@
 
 impl PlannedJob {
     /// Returns what a call about it names.
-    pub(crate) fn call(&self) -> (&str, &[StepSpec]) {
-        (&self.id, &self.steps)
+    pub(crate) fn call(&self) -> JobCall<'_> {
+        JobCall {
+            prefix: match self.is_advised {
+                true => ADVISED_PREFIX,
+                false => "/q/",
+            },
+            id: &self.id,
+            steps: &self.steps,
+        }
     }
 }
 
+/// What a call about a job names.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct JobCall<'a> {
+    /// Prefix of its queue.
+    pub prefix: &'a str,
+    /// Its id; empty for a call about no job.
+    pub id: &'a str,
+    /// Its steps.
+    pub steps: &'a [StepSpec],
+}
+
 /// A plan.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Plan {
@@ -180,17 +221,19 @@
     pub faults: Vec<Fault>,
     /// Jobs by time.
     pub jobs: Vec<PlannedJob>,
+    /// The policy of a queue that has one.
+    pub policy: Option<AdvicePolicy>,
 }
 
 impl Plan {
     /// Draws the plan of a seed: faults of some of `kinds` for `faults_ms`, and jobs for as long; in some plays also
-    /// outages of the store during which workers go away, and times in which workers fail.
+    /// outages of the store during which workers go away, times in which workers fail, and a queue with an advice policy.
     pub fn draw(seed: u64, kinds: &[FaultKind], faults_ms: u64, mean_gap_ms: u64) -> Plan {
         let mut random = Pcg64::seed_from_u64(seed);
         let single: Vec<FaultKind> = kinds
             .iter()
             .copied()
-            .filter(|kind| *kind != FaultKind::WorkersFail)
+            .filter(|kind| !kind.is_drawn_apart())
             .collect();
         let drawn = single.sample(&mut random, KINDS_PER_PLAY);
         let drawn: Vec<FaultKind> = drawn.copied().collect();
@@ -214,13 +257,20 @@
         let sequence = |number: u64| Pcg64::new(u128::from(seed), u128::from(number));
         let outages = draw_outages(&mut sequence(OUTAGES_SEQUENCE), kinds, faults_ms);
         let failures = draw_failures(&mut sequence(FAILURES_SEQUENCE), kinds, faults_ms);
-        for (more_faults, more_jobs) in [outages, failures] {
+        let advised = draw_advised_queue(&mut sequence(ADVISED_SEQUENCE), kinds, faults_ms);
+        let policy = advised.policy;
+        for (more_faults, more_jobs) in [outages, failures, (advised.faults, advised.jobs)] {
             faults.extend(more_faults);
             jobs.extend(more_jobs);
         }
         faults.sort_by_key(|fault| fault.at_ms);
         jobs.sort_by_key(|job| job.at_ms);
-        Plan { seed, faults, jobs }
+        Plan {
+            seed,
+            faults,
+            jobs,
+            policy,
+        }
     }
 }
 
@@ -265,6 +315,7 @@
     let node = random.random_range(0..1_000);
     PlannedJob {
         at_ms,
+        is_advised: false,
         id,
         steps,
         node,
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -1,11 +1,12 @@
 //! Plays one seed: starts a site, sends jobs, carries out faults, and checks what was seen.
 
+use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
-use platform_standin::steady_ms;
+use platform_standin::{AdvicePolicy, steady_ms};
 use thiserror::Error;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -104,6 +105,14 @@
     }
 }
 
+/// Returns the jobs of the queue with a policy, with that policy.
+fn advised_jobs(plan: &Plan) -> BTreeMap<String, AdvicePolicy> {
+    let advised = plan.jobs.iter().filter(|job| job.is_advised);
+    advised
+        .filter_map(|job| Some((job.id.clone(), plan.policy.clone()?)))
+        .collect()
+}
+
 /// Plays a seed. All processes that it started have ended when it returns or is dropped.
 pub async fn play(seed: u64, options: &PlayOptions) -> Result<Outcome, PlayError> {
     let scratch = Scratch::new(seed, options.keep);
@@ -112,7 +121,13 @@
 
 async fn play_in(folder: &Path, seed: u64, options: &PlayOptions) -> Result<Outcome, PlayError> {
     let plan = Plan::draw(seed, &options.kinds, options.faults_ms, options.mean_gap_ms);
-    let site = Site::start(&options.programs, folder, options.workers).await?;
+    let site = Site::start(
+        &options.programs,
+        folder,
+        options.workers,
+        plan.policy.clone(),
+    )
+    .await?;
     let callers = Arc::new(Callers::new()?);
     let operator = Arc::new(Operator::default());
     let (over, watched) = watch::channel(false);
@@ -163,6 +178,7 @@
         steps: (plan.jobs.iter())
             .map(|job| (job.id.clone(), job.steps.clone()))
             .collect(),
+        advised: advised_jobs(&plan),
         confirmed: operator.confirmed(),
         incidents: lock(&site.incidents).clone(),
         own_ends: lock(&site.own_ends).clone(),
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -11,8 +11,9 @@
 use std::time::Duration;
 
 use platform_standin::{
-    Caller, GangBoard, Note, Notebook, Reply, STANDIN_VARIABLE, StandIn, WorkerEvent, WorkerSpec,
-    declared_queues, gang_folder, notes_file, read_notes, steady_ms, unix_ms,
+    AdviceFault, AdvicePolicy, Caller, GangBoard, Note, Notebook, Reply, STANDIN_VARIABLE, StandIn,
+    WorkerEvent, WorkerSpec, declared_queues, gang_folder, notes_file, read_notes, steady_ms,
+    unix_ms,
 };
 use serde_json::{Value, json};
 use tokio::net::TcpSocket;
@@ -89,6 +90,15 @@
     on: BTreeMap<u64, (&'static str, u64)>,
 }
 
+/// The advice service.
+#[derive(Debug)]
+struct AdvicePlace {
+    /// Where each node reaches it.
+    addresses: Vec<SocketAddr>,
+    control: SocketAddr,
+    process: Mutex<Option<Process>>,
+}
+
 /// A fault as it was carried out.
 #[derive(Debug, Clone)]
 pub struct Incident {
@@ -109,6 +119,9 @@
     store_control: SocketAddr,
     store_process: Mutex<Option<Process>>,
     store_faults: tokio::sync::Mutex<StoreFaults>,
+    /// The policy of the queue that has one.
+    pub(crate) policy: Option<AdvicePolicy>,
+    advice: Option<AdvicePlace>,
     pub(crate) nodes: Vec<NodePlace>,
     pub(crate) workers: Vec<Place>,
     pub(crate) http: reqwest::Client,
@@ -173,11 +186,12 @@
 }
 
 impl Site {
-    /// Starts a site in `folder`, and waits until all nodes serve.
+    /// Starts a site in `folder`, with an advice service if there is a policy, and waits until all nodes serve.
     pub(crate) async fn start(
         programs: &Programs,
         folder: &Path,
         workers: usize,
+        policy: Option<AdvicePolicy>,
     ) -> Result<Arc<Site>, PlayError> {
         std::fs::create_dir_all(gang_folder(folder))?;
         let mut addresses = Addresses::new();
@@ -189,6 +203,8 @@
             store_control,
             store_process: Mutex::default(),
             store_faults: tokio::sync::Mutex::default(),
+            policy: policy.clone(),
+            advice: None,
             nodes: Vec::new(),
             workers: Vec::new(),
             http: reqwest::Client::builder().no_proxy().build()?,
@@ -202,7 +218,10 @@
             control: store_control,
         })?;
         *lock(&site.store_process) = Some(process);
-        let first = declared_queues(1, &[KEY, WITHDRAWN_KEY], &[1]);
+        if let Some(policy) = policy {
+            site.advice = Some(site.start_advice(&mut addresses, policy)?);
+        }
+        let first = declared_queues(1, &[KEY, WITHDRAWN_KEY], &[1], site.policy.as_ref());
         until("the store writes", || {
             site.write_to_store("op/config", Some(&first))
         })
@@ -256,6 +275,36 @@
         Process::spawn(&mut command)
     }
 
+    fn start_advice(
+        &self,
+        addresses: &mut Addresses,
+        policy: AdvicePolicy,
+    ) -> io::Result<AdvicePlace> {
+        let control = addresses.next();
+        let addresses: Vec<SocketAddr> = (0..NODES).map(|_| addresses.next()).collect();
+        let process = self.spawn_standin(&StandIn::Advice {
+            addresses: addresses.clone(),
+            control,
+            policy,
+        })?;
+        Ok(AdvicePlace {
+            addresses,
+            control,
+            process: Mutex::new(Some(process)),
+        })
+    }
+
+    /// Lets the advice service have a fault for a time.
+    pub(crate) async fn harm_advice(&self, fault: AdviceFault, lasts: Duration) {
+        let Some(advice) = &self.advice else {
+            return;
+        };
+        self.control(advice.control, "fault", &json!(fault)).await;
+        sleep(lasts).await;
+        let none = json!(AdviceFault::None);
+        self.control(advice.control, "fault", &none).await;
+    }
+
     fn prepare_worker(&self, addresses: &mut Addresses, number: usize) -> io::Result<Place> {
         let listen = addresses.next();
         let id = format!("i-{number:02}");
@@ -327,6 +376,7 @@
             "listen": listen,
             "store": {"address": to_store.address, "shortest_lease_ms": 1_000},
             "orders": "rpc",
+            "advice": self.advice.as_ref().map(|advice| advice.addresses[number - 1]),
             "bounds": {
                 "contact_ms": 4_000, "stop_grace_ms": 400, "longest_lease_ms": 10_000, "revoke_ms": 5_000,
                 "reclaim_ms": 2_900, "stop_s": 6, "remote_slowdown": 3, "keep_ended_s": 120,
@@ -484,6 +534,13 @@
             *lock(&self.store_process) = None;
             self.note_own_end("store", &how);
         }
+        let advice = self.advice.as_ref().map(|advice| lock(&advice.process));
+        if let Some(mut process) = advice
+            && let Some(how) = process.as_mut().and_then(Process::ended)
+        {
+            *process = None;
+            self.note_own_end("advice", &how);
+        }
         Ok(())
     }
 
--- a/crates/soak/tests/idle.rs
+++ b/crates/soak/tests/idle.rs
@@ -1,6 +1,6 @@
 //! The checker finds jobs that stand idle beside free workers, and nothing in what the rule allows.
 
-use platform_standin::{Note, Reply, StepSpec, WorkerEvent};
+use platform_standin::{AdvicePolicy, Note, Reply, StepSpec, WorkerEvent};
 use rstest::rstest;
 use soak::{Asked, CallRecord, Incident, Observed};
 
@@ -169,3 +169,45 @@
     });
     assert_eq!(promises(&observed), expected);
 }
+
+/// Returns a job that the workers a and b are both allowed for, only one is, or none.
+fn advised_job(allowed: usize) -> String {
+    let policy = policy();
+    let count = |id: &String| ["a", "b"].iter().filter(|w| policy.allows(id, w)).count();
+    let mut ids = (0..1_000_u64).map(|id| format!("{id:016x}"));
+    ids.find(|id| count(id) == allowed).unwrap()
+}
+
+fn policy() -> AdvicePolicy {
+    AdvicePolicy {
+        decide_ms: 500,
+        each_worker_ms: 200,
+        valid_ms: 10_000,
+        forbidden_permille: 500,
+    }
+}
+
+/// A job that may run on some workers only counts as idle beside room on these.
+#[rstest]
+#[case::allowed_everywhere(2, 5, &[IDLE])]
+#[case::allowed_on_one_worker(1, 4, &[IDLE])]
+#[case::allowed_on_one_worker_with_too_little_room(1, 5, &[])]
+#[case::forbidden_everywhere(0, 1, &[])]
+fn check_idle_job_by_policy(
+    #[case] allowed: usize,
+    #[case] members: u64,
+    #[case] expected: &[&str],
+) {
+    let mut observed = two_steps(vec![], JUDGED_MS + 4_000);
+    let job = advised_job(allowed);
+    let mut steps = observed.steps.remove(JOB).unwrap();
+    for step in &mut steps {
+        (step.count, step.gang) = (members, true);
+    }
+    observed.steps.insert(job.clone(), steps);
+    for call in &mut observed.calls {
+        call.job = job.clone();
+    }
+    observed.advised.insert(job, policy());
+    assert_eq!(promises(&observed), expected);
+}
--- a/crates/soak/tests/plan.rs
+++ b/crates/soak/tests/plan.rs
@@ -94,3 +94,30 @@
     }
     assert!((20..=60).contains(&with_failures), "{with_failures}");
 }
+
+/// Guards against plays without a queue that has an advice policy, and against plans that change with it.
+#[test]
+fn draw_advised_queue_in_some_plans() {
+    let all = FaultKind::all();
+    let is_advice = |kind: &FaultKind| kind.to_string().starts_with("advice");
+    let others: Vec<FaultKind> = all
+        .iter()
+        .copied()
+        .filter(|kind| !is_advice(kind))
+        .collect();
+    let mut with_queue = 0;
+    let mut in_trouble = 0;
+    for seed in 0..100 {
+        let plan = Plan::draw(seed, &all, 20_000, 1_000);
+        let without = Plan::draw(seed, &others, 20_000, 1_000);
+        assert_eq!(without.policy, None);
+        let advised = plan.jobs.iter().filter(|job| job.is_advised);
+        assert_eq!(advised.clone().count() > 0, plan.policy.is_some());
+        let rest: Vec<_> = plan.jobs.iter().filter(|job| !job.is_advised).collect();
+        assert_eq!(rest, without.jobs.iter().collect::<Vec<_>>());
+        with_queue += usize::from(plan.policy.is_some());
+        in_trouble += usize::from(plan.faults.iter().any(|fault| is_advice(&fault.kind)));
+    }
+    assert!((40..=80).contains(&with_queue), "{with_queue}");
+    assert!(in_trouble >= 20, "{in_trouble}");
+}
