Do not repeat queries that only wait, and know the peers sooner

Cause, found by reading: a service that takes the queries of several VMs in one turn answers later than its figures say, so each query was overdue, and idle VMs asked again for the same workers; the planner's own VM was tried first for each job although it got no answers; nodes that start at the same time read the list of peers before the others are in it, so one VM asks for 8 s; one VM was kept free of long queries also where no queue has short ones; a group without room was looked at in full in each pass.

Change: the delay of the last answers counts before a query is overdue; a VM without answers asks last; the list of peers is read again after 1, 2 and 4 s; a VM is kept free only for a queue with short queries; a step for which no worker has room is passed over at once.

--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -41,6 +41,10 @@
 /// How often the entry is renewed and the list is read. A new VM takes up to this long to receive calls from its peers.
 const REFRESH_EVERY_MS: u64 = 8_000;
 
+/// Time between the first two refreshes, which doubles up to [`REFRESH_EVERY_MS`]: nodes that start at the same time miss each
+/// other's entries at first.
+const FIRST_REFRESH_MS: u64 = 1_000;
+
 /// Delay before a failed refresh of the entry and the list is retried.
 const RETRY_PAUSE_MS: u64 = 1_000;
 
@@ -419,9 +423,13 @@
 /// Keeps this node's entry in the list of peers, and its copy of the list, up to date.
 pub(crate) async fn follow_peers(node: Arc<Node>, address: SocketAddrV4) {
     let mut lease = None;
+    let mut next_pause_ms = FIRST_REFRESH_MS;
     loop {
         let pause_ms = match refresh(&node, address, &mut lease).await {
-            Ok(()) => REFRESH_EVERY_MS,
+            Ok(()) => {
+                let doubled_ms = (2 * next_pause_ms).min(REFRESH_EVERY_MS);
+                std::mem::replace(&mut next_pause_ms, doubled_ms)
+            }
             Err(e) => {
                 let fields = [("why", Value::from(e.to_string()))];
                 node.log.general("peers", "list not refreshed", &fields);
--- a/crates/scheduler/src/advice/callers.rs
+++ b/crates/scheduler/src/advice/callers.rs
@@ -26,12 +26,13 @@
     caller: String,
     pub sent_ms: u64,
     pub expected_ms: u64,
+    overdue_ms: u64,
 }
 
 impl Query {
     /// Returns whether its answer should have come, so that others ask about the same workers.
     pub fn is_overdue(&self, now_ms: u64) -> bool {
-        now_ms > overdue_ms(self.sent_ms, self.expected_ms)
+        now_ms > self.overdue_ms
     }
 }
 
@@ -65,6 +66,8 @@
 pub(crate) struct Callers {
     callers: Vec<Caller>,
     in_flight: SlotMap<QueryKey, Query>,
+    /// How much longer than expected answers took lately.
+    delay_ms: u64,
 }
 
 impl Default for Callers {
@@ -72,6 +75,7 @@
         Callers {
             callers: vec![Caller::default()],
             in_flight: SlotMap::with_key(),
+            delay_ms: 0,
         }
     }
 }
@@ -103,10 +107,10 @@
         self.callers.iter().filter(|c| c.is_idle(now_ms)).count()
     }
 
-    /// Returns how many more long queries may be sent now. One VM is kept for short ones, so that steps of other queues do
-    /// not wait for long ones.
-    pub fn idle_for_long(&self, now_ms: u64) -> usize {
-        let most = self.count().saturating_sub(1).max(1);
+    /// Returns how many more long queries may be sent now. If there are queues with short ones, one VM is kept for these.
+    pub fn idle_for_long(&self, has_short_queries: bool, now_ms: u64) -> usize {
+        let kept = usize::from(has_short_queries);
+        let most = self.count().saturating_sub(kept).max(1);
         let held = self.callers.iter().filter(|caller| {
             let last = caller.last.and_then(|key| self.in_flight.get(key));
             !caller.is_idle(now_ms) && last.is_some_and(|query| is_long(query.expected_ms))
@@ -121,13 +125,20 @@
 
     /// Returns how many times in a row the VM that asks next got no answer.
     pub fn next_unanswered(&self, now_ms: u64) -> u32 {
-        let next = self.callers.iter().find(|caller| caller.is_idle(now_ms));
+        let next = self.next_idle(now_ms).map(|index| &self.callers[index]);
         next.map_or(0, |caller| {
             caller.unanswered + u32::from(caller.last.is_some())
         })
     }
 
-    /// Sends a query by the first VM that can; none if no VM can.
+    /// Returns the VM that sends the next query: the first without trouble, otherwise one with the least.
+    fn next_idle(&self, now_ms: u64) -> Option<usize> {
+        (0..self.callers.len())
+            .filter(|index| self.callers[*index].is_idle(now_ms))
+            .min_by_key(|index| self.callers[*index].trouble())
+    }
+
+    /// Sends a query by the next VM that can; none if no VM can.
     pub fn send(
         &mut self,
         group: GroupKey,
@@ -135,7 +146,9 @@
         expected_ms: u64,
         now_ms: u64,
     ) -> Option<Dispatch> {
-        let caller = self.callers.iter_mut().find(|c| c.is_idle(now_ms))?;
+        let delay_ms = self.delay_ms;
+        let caller = self.next_idle(now_ms)?;
+        let caller = &mut self.callers[caller];
         if caller.last.is_some() {
             caller.unanswered = caller.unanswered.saturating_add(1);
         }
@@ -145,9 +158,11 @@
             caller: caller.name.clone(),
             sent_ms: now_ms,
             expected_ms,
+            overdue_ms: overdue_ms(now_ms, expected_ms, delay_ms),
         });
         caller.last = Some(query);
-        caller.lapses_ms = now_ms.saturating_add(lapse_ms(expected_ms, caller.unanswered));
+        let lapse_ms = lapse_ms(expected_ms, delay_ms, caller.unanswered);
+        caller.lapses_ms = now_ms.saturating_add(lapse_ms);
         Some(Dispatch {
             query,
             caller: caller.name.clone(),
@@ -166,6 +181,9 @@
                 caller.last = None;
             }
             if is_answered {
+                let took_ms = now_ms.saturating_sub(query.sent_ms);
+                let late_ms = took_ms.saturating_sub(query.expected_ms);
+                self.delay_ms = late_ms.max(self.delay_ms / 2);
                 (caller.unanswered, caller.refused) = (0, 0);
             } else if was_last {
                 // The query was not taken: an answer is waited for much longer than the next query.
@@ -196,4 +214,9 @@
     fn is_idle(&self, now_ms: u64) -> bool {
         (self.last.is_none() || now_ms >= self.lapses_ms) && now_ms >= self.not_before_ms
     }
+
+    /// Returns how many queries in a row got no answer.
+    fn trouble(&self) -> u32 {
+        self.unanswered + self.refused + u32::from(self.last.is_some())
+    }
 }
--- a/crates/scheduler/src/advice/demand.rs
+++ b/crates/scheduler/src/advice/demand.rs
@@ -259,6 +259,17 @@
         }
     }
 
+    /// Returns whether a worker that a group may run on has room for one task.
+    fn may_have_room(&self, group: GroupKey, now_ms: u64) -> bool {
+        let need = self.need(group);
+        self.workers.iter().any(|(key, worker)| {
+            need.fits(&worker.free())
+                && self.is_reachable(worker, now_ms)
+                && self.is_eligible(group, worker)
+                && self.permission(group, key) != Permission::Forbidden
+        })
+    }
+
     /// Returns the workers that a group may run on as far as it is known, those that suit it best first.
     fn list_prospects(
         &self,
@@ -365,6 +376,10 @@
                 .filter(|t| t.phase == Phase::Waiting)
                 .count(),
         };
+        let may_take_occupied = !wait.is_ready || job.stored.priority == 0;
+        if !may_take_occupied && !self.may_have_room(group, now_ms) {
+            return None;
+        }
         let mut prospects = self.list_prospects(wait, planned, withheld, now_ms);
         self.keep_one_rack(group, &mut prospects, lacking);
         keep_first_classes(&mut prospects, lacking);
@@ -530,13 +545,20 @@
             workers.extend(demand.extra.drain(..extra));
         }
         let expected_ms = advice.query_ms(workers.len());
-        if is_long(expected_ms) && self.advice_callers.idle_for_long(now_ms) == 0 {
+        if is_long(expected_ms) && self.idle_for_long(now_ms) == 0 {
             return 0;
         }
         self.push_query(group, &workers, expected_ms, now_ms);
         expected_ms.max(1)
     }
 
+    /// Returns how many VMs can send a long query now.
+    fn idle_for_long(&self, now_ms: u64) -> usize {
+        let mut figures = self.queue_advice.values();
+        let has_short_queries = figures.any(|advice| !is_long(advice.query_ms(1)));
+        self.advice_callers.idle_for_long(has_short_queries, now_ms)
+    }
+
     /// Sends all queries of a demand at the same time; false if too few VMs can do so yet, which are to wait for the others.
     fn send_together(&mut self, group: GroupKey, demand: Demand, now_ms: u64) -> bool {
         let Some(advice) = self.jobs.get(group.job).and_then(|job| self.advice_of(job)) else {
@@ -552,7 +574,7 @@
         let parts = match count.div_ceil(most) <= idle {
             true => count.div_ceil(most),
             false => {
-                let for_long = self.advice_callers.idle_for_long(now_ms);
+                let for_long = self.idle_for_long(now_ms);
                 if for_long == 0 {
                     return true;
                 }
--- a/crates/scheduler/src/advice/sizing.rs
+++ b/crates/scheduler/src/advice/sizing.rs
@@ -107,16 +107,21 @@
     valid_ms - TICKET_MARGIN_MS.min(valid_ms / 2)
 }
 
-/// Returns when a query sent at `sent_ms` counts as overdue, so that another VM asks about the same workers.
-pub(crate) fn overdue_ms(sent_ms: u64, expected_ms: u64) -> u64 {
-    sent_ms.saturating_add(expected_ms).saturating_add(DELAY_MS)
+/// Returns when a query sent at `sent_ms` counts as overdue, so that another VM asks about the same workers; of late,
+/// answers came `delay_ms` later than expected.
+pub(crate) fn overdue_ms(sent_ms: u64, expected_ms: u64, delay_ms: u64) -> u64 {
+    sent_ms
+        .saturating_add(expected_ms)
+        .saturating_add(delay_ms)
+        .saturating_add(DELAY_MS)
 }
 
 /// Returns how long after a query its VM sends another, if there is no answer: the connection may be dead, or the service
 /// slower than its figures say. The time grows while there are no answers.
-pub(crate) fn lapse_ms(expected_ms: u64, unanswered: u32) -> u64 {
+pub(crate) fn lapse_ms(expected_ms: u64, delay_ms: u64, unanswered: u32) -> u64 {
     let first_ms = expected_ms
         .saturating_mul(2)
+        .saturating_add(delay_ms)
         .saturating_add(LAPSE_MARGIN_MS);
     first_ms.saturating_mul(1 << (unanswered / 2).min(16))
 }
--- a/crates/scheduler/tests/advice.rs
+++ b/crates/scheduler/tests/advice.rs
@@ -89,6 +89,15 @@
     assert_all_within(&waits, LONGEST_IDLE_MS);
 }
 
+/// No VM is kept free if there are no queues with short queries.
+#[test]
+fn jobs_accepted_at_once_start_in_time_although_decisions_are_slow() {
+    let mut site = AdviceSite::new(25, 3, advice(2_000, 200, 10_000));
+    let jobs: Vec<JobId> = (0..3).map(|_| site.submit(1, vec![step(1, 1)])).collect();
+    let waits = play_starts(&mut site, &jobs, LONGEST_IDLE_MS);
+    assert_all_within(&waits, LONGEST_IDLE_MS);
+}
+
 /// With more jobs than the service can decide on in time, none waits longer than its turn takes.
 #[test]
 fn many_jobs_wait_for_their_turn_only() {
@@ -449,3 +458,31 @@
         "{wait_ms:?}"
     );
 }
+
+/// A service that does not tell the VMs apart takes all queries in one turn; that they wait for each other is no reason to
+/// repeat them.
+#[test]
+fn queries_are_not_repeated_while_others_are_decided() {
+    let mut site = AdviceSite::new(25, 3, figures());
+    site.has_one_turn = true;
+    let jobs: Vec<JobId> = (0..12).map(|_| site.submit(1, vec![step(1, 1)])).collect();
+    let waits = play_starts(&mut site, &jobs, LONG_MS / 2);
+    // The first answers show how long it takes.
+    assert!(site.asked.len() <= 12 + 2, "{} queries", site.asked.len());
+    assert_all_within(&waits, (12 + 2) * 710);
+}
+
+/// The planner's own VM does not reach the service: its turn is not tried first for each job.
+#[test]
+fn job_is_asked_about_by_vm_that_gets_answers() {
+    let mut site = AdviceSite::new(25, 3, figures());
+    site.silent = ["vm-0".to_string()].into();
+    let first = site.submit(1, vec![step(1, 1)]);
+    assert!(site.wait_for_start(first, LONG_MS).is_some());
+    for _ in 0..5 {
+        site.play(4_000);
+        let id = site.submit(1, vec![step(1, 1)]);
+        let wait_ms = site.wait_for_start(id, LONG_MS);
+        assert!(wait_ms.is_some_and(|ms| ms <= 700 + 100), "{wait_ms:?}");
+    }
+}
--- a/crates/scheduler/tests/support/advice_site.rs
+++ b/crates/scheduler/tests/support/advice_site.rs
@@ -72,6 +72,8 @@
     pub harness: Harness,
     pub figures: Advice,
     pub behaviour: Behaviour,
+    /// Whether the queries of all VMs have one turn.
+    pub has_one_turn: bool,
     /// VMs whose queries get no answer.
     pub silent: HashSet<String>,
     /// Ids of the workers that the service forbids.
@@ -87,6 +89,8 @@
     pub ends: Vec<(TaskName, u64)>,
     /// Starts that workers refused for want of a ticket.
     pub refused: usize,
+    /// Jobs whose records say that they are completed.
+    done: HashSet<JobId>,
     turns: HashMap<String, Turn>,
     workers: Vec<SiteWorker>,
     planned_ms: u64,
@@ -113,6 +117,7 @@
             harness,
             figures,
             behaviour: Behaviour::Usual,
+            has_one_turn: false,
             silent: HashSet::new(),
             forbidden: HashSet::new(),
             run_ms: 60_000,
@@ -121,6 +126,7 @@
             starts: Vec::new(),
             ends: Vec::new(),
             refused: 0,
+            done: HashSet::new(),
             turns: HashMap::new(),
             workers: (0..workers).map(|_| SiteWorker::default()).collect(),
             planned_ms: 0,
@@ -198,6 +204,11 @@
             .unwrap_or(0)
     }
 
+    /// Returns whether the planner has ended a job, or forgotten it as done.
+    pub fn is_done(&self, id: JobId) -> bool {
+        self.done.contains(&id)
+    }
+
     /// Returns the queries about steps of a job.
     pub fn asked_about(&self, id: JobId) -> Vec<&Asked> {
         let prefix = format!("{id}.");
@@ -213,7 +224,15 @@
         let planner = &self.harness.planner;
         if planner.has_changed() || now_ms >= self.planned_ms + PASS_MS {
             self.planned_ms = now_ms;
-            for order in self.harness.plan() {
+            let (mut orders, flush) = self.harness.plan_without_store();
+            let completed = flush
+                .writes
+                .iter()
+                .filter(|w| w.record.state == JobState::Completed);
+            self.done.extend(completed.map(|write| write.job));
+            self.harness.planner.complete_flush(flush, now_ms);
+            orders.extend(self.harness.take_orders());
+            for order in orders {
                 self.carry_out(order);
             }
         }
@@ -329,7 +348,11 @@
                 if self.behaviour == Behaviour::Busy {
                     return self.harness.planner.apply_advice(*query, None, now_ms);
                 }
-                let turn = self.turns.entry(caller.clone()).or_default();
+                let turn = match self.has_one_turn {
+                    true => String::new(),
+                    false => caller.clone(),
+                };
+                let turn = self.turns.entry(turn).or_default();
                 turn.waiting.push_back(Waiting {
                     key: *query,
                     step: step.clone(),
