Ask about a gang that comes soon only once

Cause, found by reading: the expired tickets of a gang whose step before takes longer than estimated were renewed each time, for all its workers. Change: as for single tasks, they are renewed early only if that takes too long once the turn has come.

--- a/crates/scheduler/src/advice/demand.rs
+++ b/crates/scheduler/src/advice/demand.rs
@@ -383,13 +383,15 @@
         let mut prospects = self.list_prospects(wait, planned, withheld, now_ms);
         self.keep_one_rack(group, &mut prospects, lacking);
         keep_first_classes(&mut prospects, lacking);
+        // A ticket that has expired is asked for early only if that takes too long once the turn has come.
+        let most_workers = match self.is_gang(group) {
+            true => lacking.div_ceil(self.advice_callers.count().max(1)),
+            false => 1,
+        };
+        let renews = wait.is_ready || is_long(advice.query_ms(most_workers));
         let demand = match self.is_gang(group) {
-            true => self.find_gang_demand(group, &advice, &prospects, lacking, now_ms),
-            false => {
-                // A ticket that has expired is asked for early only if that takes too long once the turn has come.
-                let renews = wait.is_ready || is_long(advice.query_ms(1));
-                self.find_task_demand(group, &prospects, lacking, renews, now_ms)
-            }
+            true => self.find_gang_demand(group, &advice, &prospects, lacking, renews, now_ms),
+            false => self.find_task_demand(group, &prospects, lacking, renews, now_ms),
         };
         (!demand.workers.is_empty()).then_some(demand)
     }
@@ -489,6 +491,7 @@
         advice: &Advice,
         prospects: &[Prospect],
         count: usize,
+        renews: bool,
         now_ms: u64,
     ) -> Demand {
         if prospects.iter().map(|p| p.fits).sum::<usize>() < count {
@@ -508,7 +511,10 @@
                 is_needed
             })
             .collect();
-        let stale = list_stale(&chosen, advice, now_ms);
+        let stale = match renews {
+            true => list_stale(&chosen, advice, now_ms),
+            false => Vec::new(),
+        };
         let mut demand = Demand::default();
         if lacking == 0 {
             demand.together = true;
--- a/crates/scheduler/tests/advice.rs
+++ b/crates/scheduler/tests/advice.rs
@@ -486,3 +486,27 @@
         assert!(wait_ms.is_some_and(|ms| ms <= 700 + 100), "{wait_ms:?}");
     }
 }
+
+/// A step that comes soon is asked about once, however long the step before it takes beyond its estimate.
+#[rstest]
+#[case::single_task(step(1, 1), 1)]
+#[case::gang(gang(10), 10)]
+fn next_step_is_not_asked_about_again_and_again(#[case] next: StepSpec, #[case] named: usize) {
+    let mut site = AdviceSite::new(25, 3, advice(100, 20, 1_000));
+    site.run_ms = 30_000;
+    let first = StepSpec {
+        estimate_ms: 1_000,
+        ..step(1, 1)
+    };
+    let id = site.submit(1, vec![first, after(0, next)]);
+    site.play(29_000);
+    let about_next: usize = site
+        .asked_about(id)
+        .iter()
+        .filter(|asked| asked.step.ends_with(".1"))
+        .map(|asked| asked.workers.len())
+        .sum();
+    assert!(about_next <= 2 * named, "{about_next} workers named");
+    site.play(5_000);
+    assert_eq!(site.starts.len(), 1 + named);
+}
