--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -92,6 +92,26 @@
     assert_kept(seed, &options).await;
 }
 
+/// Guards against LOST: jobs of a queue with an advice policy wait one behind the other for the service.
+#[rstest]
+#[case::gangs_and_chains(12)]
+#[case::service_in_trouble(8)]
+#[tokio::test(flavor = "multi_thread")]
+async fn soak_starts_jobs_that_need_advice(#[case] seed: u64) {
+    let kinds = [
+        FaultKind::AdviceSilent,
+        FaultKind::AdviceSlow,
+        FaultKind::AdviceBusy,
+    ];
+    let options = PlayOptions {
+        workers: 8,
+        faults_ms: 12_000,
+        mean_gap_ms: 60_000,
+        ..options(&kinds)
+    };
+    assert_kept(seed, &options).await;
+}
+
 async fn assert_holds(seed: u64, kinds: &[FaultKind]) {
     assert_kept(seed, &options(kinds)).await;
 }
