--- a/crates/control/src/advice.rs
+++ b/crates/control/src/advice.rs
@@ -13,7 +13,7 @@
 use crate::term::Term;
 
 /// The most VMs that send queries for one planner. The service refuses queries while 32 wait.
-pub(crate) const MAX_CALLERS: usize = 16;
+pub(crate) const MAX_ADVICE_VMS: usize = 16;
 
 /// A query as it is sent by a node.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -35,7 +35,7 @@
 pub(crate) async fn send_query(term: Arc<Term>, order: Order) {
     let Order::Ask {
         query,
-        caller,
+        vm,
         step,
         workers,
         timeout_ms,
@@ -52,9 +52,9 @@
         timeout_ms,
         new_connection,
     };
-    let reply = match caller == term.node.settings.name {
+    let reply = match vm == term.node.settings.name {
         true => ask_service(&term.node, asked).await,
-        false => match term.node.peers.find(&caller) {
+        false => match term.node.peers.find(&vm) {
             Some(peer) => ask_peer_for_advice(&peer, asked).await,
             None => None,
         },
@@ -92,12 +92,12 @@
 }
 
 /// Returns the names of the VMs that can send queries, this one first; none if there is no advice service.
-pub(crate) fn list_callers(node: &Node) -> Vec<String> {
+pub(crate) fn list_advice_vms(node: &Node) -> Vec<String> {
     if node.advice.is_none() {
         return Vec::new();
     }
     let mut names = node.peers.names();
-    names.truncate(MAX_CALLERS - 1);
+    names.truncate(MAX_ADVICE_VMS - 1);
     names.insert(0, node.settings.name.clone());
     names
 }
--- a/crates/control/src/term.rs
+++ b/crates/control/src/term.rs
@@ -9,7 +9,7 @@
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
-use crate::advice::list_callers;
+use crate::advice::list_advice_vms;
 use crate::clock::{now_ms, unix_ms};
 use crate::hand_over::hand_over;
 use crate::lead::{LEASE_MARGIN_MS, Lead, RENEW_EVERY_MS, RENEW_TIMEOUT_MS, lead_ttl_ms};
@@ -252,7 +252,7 @@
                 planner.set_configuration(&active.configuration);
             }
             if node.advice.is_some() && planner.has_advice() {
-                planner.set_advice_callers(&list_callers(&node));
+                planner.set_advice_vms(&list_advice_vms(&node));
             }
             planner.plan(now_ms(), unix_ms());
             planner.begin_flush(now_ms(), unix_ms())
--- a/crates/scheduler/src/advice/mod.rs
+++ b/crates/scheduler/src/advice/mod.rs
@@ -1,14 +1,16 @@
 //! Tickets for steps that only some workers may run. The advice service of the platform grants them; its answers are slow,
 //! so which step is asked about next, and how many workers a query names, are decisions (docs/design/advice.md).
 
-mod callers;
 mod demand;
+mod send;
 mod sizing;
+mod vms;
+mod waits;
 
 use std::collections::HashMap;
 
-pub use callers::QueryKey;
-pub(crate) use callers::{Callers, Query};
+pub use vms::QueryKey;
+pub(crate) use vms::{AskingVms, Query};
 
 use crate::configuration::Advice;
 use crate::group::GroupKey;
@@ -127,8 +129,8 @@
 
 impl Planner {
     /// Sets the names of the VMs that can send queries to the advice service, of which each has its own turn there.
-    pub fn set_advice_callers(&mut self, names: &[String]) {
-        self.advice_callers.set(names);
+    pub fn set_advice_vms(&mut self, names: &[String]) {
+        self.advice_vms.set(names);
     }
 
     /// Returns whether a queue has an advice policy, or had one when a job was accepted.
@@ -168,13 +170,13 @@
 
     /// Applies the answer to a query; none if it was refused or not answered in time.
     pub fn apply_advice(&mut self, query: QueryKey, answer: Option<AdviceAnswer>, now_ms: u64) {
-        let Some(query) = self.advice_callers.end(query, answer.is_some(), now_ms) else {
+        let Some(query) = self.advice_vms.end(query, answer.is_some(), now_ms) else {
             return;
         };
         self.changed = true;
         let Some(answer) = answer else {
             self.counts.advice_unanswered += 1;
-            let why = Callers::describe(&query, now_ms);
+            let why = AskingVms::describe(&query, now_ms);
             return self.record_advice(query.group, "advice not given", why);
         };
         let (named, took_ms) = (query.workers.len(), now_ms.saturating_sub(query.sent_ms));
@@ -240,18 +242,18 @@
     pub(crate) fn describe_advice(&self, group: GroupKey, now_ms: u64) -> String {
         let tickets = &self.jobs[group.job].groups[group.group as usize].tickets;
         let (allowed, forbidden) = tickets.count_verdicts();
-        let queries = self.advice_callers.queries();
+        let queries = self.advice_vms.queries();
         let (own, others): (Vec<&Query>, Vec<&Query>) = queries.partition(|q| q.group == group);
         let own: Vec<String> = own
             .iter()
-            .map(|query| Callers::describe(query, now_ms))
+            .map(|query| AskingVms::describe(query, now_ms))
             .collect();
         format!(
             "{} queries so far, {allowed} workers allowed, {forbidden} forbidden; in flight: [{}], and {} for others; {} VMs ask",
             tickets.queries,
             own.join("; "),
             others.len(),
-            self.advice_callers.count()
+            self.advice_vms.count()
         )
     }
 }
--- a/crates/scheduler/src/advice/sizing.rs
+++ b/crates/scheduler/src/advice/sizing.rs
@@ -62,12 +62,12 @@
     workers_within(advice, left_ms).max(1)
 }
 
-/// Returns how many workers one query names of `count`, which `callers` VMs can ask about at the same time. Fewer than
+/// Returns how many workers one query names of `count`, which `vms` VMs can ask about at the same time. Fewer than
 /// take half as long as the decision are not split further.
-pub(crate) fn query_size(advice: &Advice, count: usize, callers: usize) -> usize {
+pub(crate) fn query_size(advice: &Advice, count: usize, vms: usize) -> usize {
     let most = most_workers(advice);
     let least = workers_within(advice, advice.decide_ms / 2).clamp(1, most);
-    count.div_ceil(callers.max(1)).clamp(least, most).min(count)
+    count.div_ceil(vms.max(1)).clamp(least, most).min(count)
 }
 
 /// Returns how many workers that are probably not needed can be named along with `named` others at almost no cost.
@@ -84,9 +84,9 @@
 
 /// Returns whether the tickets of the first of several queries about `count` workers, as short as they should be, still
 /// hold when the last one is answered.
-pub(crate) fn holds_until_last(advice: &Advice, count: usize, callers: usize) -> bool {
+pub(crate) fn holds_until_last(advice: &Advice, count: usize, vms: usize) -> bool {
     let most = most_workers(advice);
-    let rounds = count.div_ceil(most.saturating_mul(callers.max(1)));
+    let rounds = count.div_ceil(most.saturating_mul(vms.max(1)));
     let took_ms = advice.query_ms(most).saturating_mul(rounds as u64);
     took_ms <= usable_ms(advice.valid_ms)
 }
@@ -147,10 +147,10 @@
 }
 
 impl QueryTurn {
-    /// Returns its key in the order of turns if `callers` VMs can ask. A step that has had much of the service's time goes
+    /// Returns its key in the order of turns if `vms` VMs can ask. A step that has had much of the service's time goes
     /// behind others, so that one with many workers to ask about uses half of it while others wait.
-    pub fn key(&self, callers: usize) -> u64 {
-        let used_ms = self.asked_ms.saturating_mul(2) / callers.max(1) as u64;
+    pub fn key(&self, vms: usize) -> u64 {
+        let used_ms = self.asked_ms.saturating_mul(2) / vms.max(1) as u64;
         let late_ms = match self.is_idle {
             true => 0,
             false => RUNNING_DELAY_MS,
--- a/crates/scheduler/src/advice/callers.rs
+++ b/crates/scheduler/src/advice/vms.rs
@@ -23,7 +23,7 @@
     pub group: GroupKey,
     /// The workers and the incarnations that are known of them.
     pub workers: Vec<(WorkerKey, u64)>,
-    caller: String,
+    vm: String,
     pub sent_ms: u64,
     pub expected_ms: u64,
     overdue_ms: u64,
@@ -38,7 +38,7 @@
 
 /// A VM that can send queries.
 #[derive(Debug, Default)]
-struct Caller {
+struct AskingVm {
     name: String,
     /// The last query, if it is in flight and the VM waits for its answer.
     last: Option<QueryKey>,
@@ -56,42 +56,42 @@
 #[derive(Debug, PartialEq, Eq)]
 pub(crate) struct Dispatch {
     pub query: QueryKey,
-    pub caller: String,
+    pub vm: String,
     pub timeout_ms: u64,
     pub new_connection: bool,
 }
 
 /// All VMs that can send queries, this one first, and the queries in flight.
 #[derive(Debug)]
-pub(crate) struct Callers {
-    callers: Vec<Caller>,
+pub(crate) struct AskingVms {
+    vms: Vec<AskingVm>,
     in_flight: SlotMap<QueryKey, Query>,
     /// How much longer than expected answers took lately.
     delay_ms: u64,
 }
 
-impl Default for Callers {
-    fn default() -> Callers {
-        Callers {
-            callers: vec![Caller::default()],
+impl Default for AskingVms {
+    fn default() -> AskingVms {
+        AskingVms {
+            vms: vec![AskingVm::default()],
             in_flight: SlotMap::with_key(),
             delay_ms: 0,
         }
     }
 }
 
-impl Callers {
+impl AskingVms {
     /// Sets the VMs that can send queries. What is known of a VM stays as long as it is among them.
     pub fn set(&mut self, names: &[String]) {
-        let mut known = std::mem::take(&mut self.callers);
-        self.callers = names
+        let mut known = std::mem::take(&mut self.vms);
+        self.vms = names
             .iter()
             .map(|name| {
-                let position = known.iter().position(|caller| caller.name == *name);
+                let position = known.iter().position(|vm| vm.name == *name);
                 let found = position.map(|position| known.swap_remove(position));
-                found.unwrap_or_else(|| Caller {
+                found.unwrap_or_else(|| AskingVm {
                     name: name.clone(),
-                    ..Caller::default()
+                    ..AskingVm::default()
                 })
             })
             .collect();
@@ -99,21 +99,21 @@
 
     /// Returns how many VMs can send queries.
     pub fn count(&self) -> usize {
-        self.callers.len()
+        self.vms.len()
     }
 
     /// Returns how many VMs can send a query now.
     pub fn idle(&self, now_ms: u64) -> usize {
-        self.callers.iter().filter(|c| c.is_idle(now_ms)).count()
+        self.vms.iter().filter(|c| c.is_idle(now_ms)).count()
     }
 
     /// Returns how many more long queries may be sent now. If there are queues with short ones, one VM is kept for these.
     pub fn idle_for_long(&self, has_short_queries: bool, now_ms: u64) -> usize {
         let kept = usize::from(has_short_queries);
         let most = self.count().saturating_sub(kept).max(1);
-        let held = self.callers.iter().filter(|caller| {
-            let last = caller.last.and_then(|key| self.in_flight.get(key));
-            !caller.is_idle(now_ms) && last.is_some_and(|query| is_long(query.expected_ms))
+        let held = self.vms.iter().filter(|vm| {
+            let last = vm.last.and_then(|key| self.in_flight.get(key));
+            !vm.is_idle(now_ms) && last.is_some_and(|query| is_long(query.expected_ms))
         });
         most.saturating_sub(held.count()).min(self.idle(now_ms))
     }
@@ -125,17 +125,15 @@
 
     /// Returns how many times in a row the VM that asks next got no answer.
     pub fn next_unanswered(&self, now_ms: u64) -> u32 {
-        let next = self.next_idle(now_ms).map(|index| &self.callers[index]);
-        next.map_or(0, |caller| {
-            caller.unanswered + u32::from(caller.last.is_some())
-        })
+        let next = self.next_idle(now_ms).map(|index| &self.vms[index]);
+        next.map_or(0, |vm| vm.unanswered + u32::from(vm.last.is_some()))
     }
 
     /// Returns the VM that sends the next query: the first without trouble, otherwise one with the least.
     fn next_idle(&self, now_ms: u64) -> Option<usize> {
-        (0..self.callers.len())
-            .filter(|index| self.callers[*index].is_idle(now_ms))
-            .min_by_key(|index| self.callers[*index].trouble())
+        (0..self.vms.len())
+            .filter(|index| self.vms[*index].is_idle(now_ms))
+            .min_by_key(|index| self.vms[*index].trouble())
     }
 
     /// Sends a query by the next VM that can; none if no VM can.
@@ -147,49 +145,49 @@
         now_ms: u64,
     ) -> Option<Dispatch> {
         let delay_ms = self.delay_ms;
-        let caller = self.next_idle(now_ms)?;
-        let caller = &mut self.callers[caller];
-        if caller.last.is_some() {
-            caller.unanswered = caller.unanswered.saturating_add(1);
+        let vm = self.next_idle(now_ms)?;
+        let vm = &mut self.vms[vm];
+        if vm.last.is_some() {
+            vm.unanswered = vm.unanswered.saturating_add(1);
         }
         let query = self.in_flight.insert(Query {
             group,
             workers,
-            caller: caller.name.clone(),
+            vm: vm.name.clone(),
             sent_ms: now_ms,
             expected_ms,
             overdue_ms: overdue_ms(now_ms, expected_ms, delay_ms),
         });
-        caller.last = Some(query);
-        let lapse_ms = lapse_ms(expected_ms, delay_ms, caller.unanswered);
-        caller.lapses_ms = now_ms.saturating_add(lapse_ms);
+        vm.last = Some(query);
+        let lapse_ms = lapse_ms(expected_ms, delay_ms, vm.unanswered);
+        vm.lapses_ms = now_ms.saturating_add(lapse_ms);
         Some(Dispatch {
             query,
-            caller: caller.name.clone(),
+            vm: vm.name.clone(),
             timeout_ms: timeout_ms(expected_ms),
-            new_connection: caller.unanswered + caller.refused > 0,
+            new_connection: vm.unanswered + vm.refused > 0,
         })
     }
 
     /// Ends a query; returns it if it was in flight.
     pub fn end(&mut self, key: QueryKey, is_answered: bool, now_ms: u64) -> Option<Query> {
         let query = self.in_flight.remove(key)?;
-        let caller = self.callers.iter_mut().find(|c| c.name == query.caller);
-        if let Some(caller) = caller {
-            let was_last = caller.last == Some(key);
+        let vm = self.vms.iter_mut().find(|c| c.name == query.vm);
+        if let Some(vm) = vm {
+            let was_last = vm.last == Some(key);
             if was_last {
-                caller.last = None;
+                vm.last = None;
             }
             if is_answered {
                 let took_ms = now_ms.saturating_sub(query.sent_ms);
                 let late_ms = took_ms.saturating_sub(query.expected_ms);
                 self.delay_ms = late_ms.max(self.delay_ms / 2);
-                (caller.unanswered, caller.refused) = (0, 0);
+                (vm.unanswered, vm.refused) = (0, 0);
             } else if was_last {
                 // The query was not taken: an answer is waited for much longer than the next query.
-                let delay_ms = RETRY_DELAY_MS << caller.refused.min(3);
-                caller.not_before_ms = now_ms + delay_ms.min(MAX_RETRY_DELAY_MS);
-                caller.refused = caller.refused.saturating_add(1);
+                let delay_ms = RETRY_DELAY_MS << vm.refused.min(3);
+                vm.not_before_ms = now_ms + delay_ms.min(MAX_RETRY_DELAY_MS);
+                vm.refused = vm.refused.saturating_add(1);
             }
         }
         Some(query)
@@ -200,9 +198,9 @@
         format!(
             "{} workers by {}, sent {} ms ago, expected to take {} ms",
             query.workers.len(),
-            match query.caller.is_empty() {
+            match query.vm.is_empty() {
                 true => "this VM",
-                false => &query.caller,
+                false => &query.vm,
             },
             now_ms.saturating_sub(query.sent_ms),
             query.expected_ms
@@ -210,7 +208,7 @@
     }
 }
 
-impl Caller {
+impl AskingVm {
     fn is_idle(&self, now_ms: u64) -> bool {
         (self.last.is_none() || now_ms >= self.lapses_ms) && now_ms >= self.not_before_ms
     }
--- a/crates/scheduler/src/orders.rs
+++ b/crates/scheduler/src/orders.rs
@@ -50,7 +50,7 @@
         /// Key of the query.
         query: QueryKey,
         /// Name of the VM that sends it; empty for this one if no names were set.
-        caller: String,
+        vm: String,
         /// Name of the step, `ID.OCCURRENCE.STEP`.
         step: String,
         /// Ids of the workers.
--- a/crates/scheduler/src/planner.rs
+++ b/crates/scheduler/src/planner.rs
@@ -4,7 +4,7 @@
 
 use slotmap::SlotMap;
 
-use crate::advice::{AllowedShare, Callers};
+use crate::advice::{AllowedShare, AskingVms};
 use crate::configuration::{Advice, Configuration};
 use crate::counts::RunCounts;
 use crate::group::{GroupKey, JobKey, Phase, Task, TaskKey};
@@ -59,7 +59,7 @@
     /// The policies of queues that have one.
     pub(crate) queue_advice: HashMap<String, Advice>,
     /// The VMs that can send queries to the advice service.
-    pub(crate) advice_callers: Callers,
+    pub(crate) advice_vms: AskingVms,
     /// How many workers each queue with a policy was allowed lately.
     pub(crate) allowed_shares: HashMap<String, AllowedShare>,
     pub(crate) workers: SlotMap<WorkerKey, Worker>,
@@ -109,7 +109,7 @@
             limits,
             guaranteed: HashMap::new(),
             queue_advice: HashMap::new(),
-            advice_callers: Callers::default(),
+            advice_vms: AskingVms::default(),
             allowed_shares: HashMap::new(),
             workers: SlotMap::with_key(),
             racks: Racks::default(),
--- a/crates/scheduler/tests/advice.rs
+++ b/crates/scheduler/tests/advice.rs
@@ -64,8 +64,8 @@
 #[case::slow_for_each_worker(advice(0, 2_000, 10_000))]
 #[case::slow_decision(advice(2_000, 200, 10_000))]
 #[case::tickets_valid_for_moments(advice(500, 200, 100))]
-fn single_job_starts_in_time(#[case] figures: Advice, #[values(1, 3, 7)] callers: usize) {
-    let mut site = AdviceSite::new(25, callers, figures);
+fn single_job_starts_in_time(#[case] figures: Advice, #[values(1, 3, 7)] vms: usize) {
+    let mut site = AdviceSite::new(25, vms, figures);
     let id = site.submit(1, vec![step(1, 1)]);
     let wait_ms = site.wait_for_start(id, LONG_MS);
     assert!(
@@ -80,8 +80,8 @@
 #[case::one_vm(1, 3)]
 #[case::three_vms(3, 9)]
 #[case::seven_vms(7, 21)]
-fn jobs_accepted_at_once_start_in_time(#[case] callers: usize, #[case] count: usize) {
-    let mut site = AdviceSite::new(25, callers, figures());
+fn jobs_accepted_at_once_start_in_time(#[case] vms: usize, #[case] count: usize) {
+    let mut site = AdviceSite::new(25, vms, figures());
     let jobs: Vec<JobId> = (0..count)
         .map(|_| site.submit(1, vec![step(1, 1)]))
         .collect();
@@ -112,8 +112,8 @@
 #[rstest]
 #[case::one_vm(1)]
 #[case::three_vms(3)]
-fn steps_follow_each_other_in_time(#[case] callers: usize) {
-    let mut site = AdviceSite::new(25, callers, figures());
+fn steps_follow_each_other_in_time(#[case] vms: usize) {
+    let mut site = AdviceSite::new(25, vms, figures());
     site.run_ms = 4_000;
     let steps = vec![
         step(2, 1),
@@ -148,8 +148,8 @@
 }
 
 /// Returns the least time in which the tickets of a gang can be had: all its workers, in equal parts, by all VMs at once.
-fn least_ms(figures: &Advice, width: u64, callers: u64) -> u64 {
-    figures.decide_ms + figures.each_worker_ms * width.div_ceil(callers)
+fn least_ms(figures: &Advice, width: u64, vms: u64) -> u64 {
+    figures.decide_ms + figures.each_worker_ms * width.div_ceil(vms)
 }
 
 #[rstest]
@@ -158,15 +158,11 @@
 #[case::tickets_hold_for_less_than_all_take(40, advice(500, 200, 3_000))]
 #[case::tickets_hold_for_moments(40, advice(500, 200, 400))]
 #[case::wider_than_one_query(110, advice(100, 20, 3_000))]
-fn gang_starts_whole(
-    #[case] width: u32,
-    #[case] figures: Advice,
-    #[values(1, 2, 7)] callers: usize,
-) {
-    let mut site = AdviceSite::new(120, callers, figures);
+fn gang_starts_whole(#[case] width: u32, #[case] figures: Advice, #[values(1, 2, 7)] vms: usize) {
+    let mut site = AdviceSite::new(120, vms, figures);
     let id = site.submit(1, vec![gang(width)]);
     let wait_ms = site.wait_for_start(id, LONG_MS);
-    let least_ms = least_ms(&figures, u64::from(width), callers as u64);
+    let least_ms = least_ms(&figures, u64::from(width), vms as u64);
     // Short queries, which don't hold other jobs up, take longer altogether than one long one for each VM.
     assert!(
         wait_ms.is_some_and(|ms| ms <= 3 * least_ms),
@@ -181,9 +177,9 @@
 #[rstest]
 fn gang_starts_although_many_are_forbidden(
     #[values(600, 3_000, 10_000)] valid_ms: u64,
-    #[values(1, 3, 7)] callers: usize,
+    #[values(1, 3, 7)] vms: usize,
 ) {
-    let mut site = AdviceSite::new(60, callers, advice(200, 100, valid_ms));
+    let mut site = AdviceSite::new(60, vms, advice(200, 100, valid_ms));
     site.allow_only(&(0..60).filter(|number| number % 2 == 1).collect::<Vec<_>>());
     let id = site.submit(1, vec![gang(30)]);
     let wait_ms = site.wait_for_start(id, LONG_MS);
@@ -214,8 +210,8 @@
 #[case::two_vms(2)]
 #[case::three_vms(3)]
 #[case::seven_vms(7)]
-fn small_jobs_start_in_time_beside_gang(#[case] callers: usize) {
-    let mut site = AdviceSite::new(60, callers, figures());
+fn small_jobs_start_in_time_beside_gang(#[case] vms: usize) {
+    let mut site = AdviceSite::new(60, vms, figures());
     let large = site.submit(1, vec![gang(40)]);
     let mut waits = Vec::new();
     for _ in 0..8 {
@@ -231,12 +227,12 @@
 #[rstest]
 #[case::one_vm(1)]
 #[case::three_vms(3)]
-fn gang_starts_beside_steady_small_jobs(#[case] callers: usize) {
-    let mut site = AdviceSite::new(60, callers, figures());
+fn gang_starts_beside_steady_small_jobs(#[case] vms: usize) {
+    let mut site = AdviceSite::new(60, vms, figures());
     site.run_ms = 5_000;
     let large = site.submit(1, vec![gang(20)]);
     for _ in 0..LONG_MS / 700 {
-        for _ in 0..callers {
+        for _ in 0..vms {
             site.submit(1, vec![step(1, 1)]);
         }
         site.play(700);
@@ -317,9 +313,9 @@
 #[rstest]
 fn job_starts_although_service_is_slower_than_its_figures(
     #[values(2, 5, 20)] factor: u64,
-    #[values(1, 3)] callers: usize,
+    #[values(1, 3)] vms: usize,
 ) {
-    let mut site = AdviceSite::new(25, callers, figures());
+    let mut site = AdviceSite::new(25, vms, figures());
     site.behaviour = Behaviour::Slow(factor);
     let id = site.submit(1, vec![step(1, 1)]);
     let wait_ms = site.wait_for_start(id, 10 * LONG_MS);
@@ -418,8 +414,8 @@
 
 /// A worker with a ticket for a gang may be taken by a smaller job before the last ticket is there.
 #[rstest]
-fn urgent_gang_starts_beside_job_that_takes_one_of_its_workers(#[values(1, 3)] callers: usize) {
-    let mut site = AdviceSite::new(25, callers, figures());
+fn urgent_gang_starts_beside_job_that_takes_one_of_its_workers(#[values(1, 3)] vms: usize) {
+    let mut site = AdviceSite::new(25, vms, figures());
     let large = site.submit(0, vec![gang(20)]);
     site.play(300);
     let small = site.submit(0, vec![step(1, 1)]);
@@ -510,3 +506,13 @@
     site.play(5_000);
     assert_eq!(site.starts.len(), 1 + named);
 }
+
+/// One VM's part of a gang's tickets is late, so that those of the others expire before.
+#[rstest]
+fn gang_starts_although_a_vm_gets_no_answer(#[values(300, 1_000, 10_000)] valid_ms: u64) {
+    let mut site = AdviceSite::new(60, 3, advice(500, 200, valid_ms));
+    site.silent = ["vm-1".to_string()].into();
+    let id = site.submit(1, vec![gang(24)]);
+    let wait_ms = site.wait_for_start(id, LONG_MS);
+    assert!(wait_ms.is_some(), "never started");
+}
--- a/crates/scheduler/tests/advice_soak.rs
+++ b/crates/scheduler/tests/advice_soak.rs
@@ -60,8 +60,8 @@
 fn play(seed: u64) -> Played {
     let mut random = Pcg64::seed_from_u64(seed);
     let workers: u32 = random.random_range(4..=60);
-    let callers: usize = random.random_range(1..=7);
-    let mut site = AdviceSite::new(workers, callers, draw_figures(&mut random));
+    let vms: usize = random.random_range(1..=7);
+    let mut site = AdviceSite::new(workers, vms, draw_figures(&mut random));
     site.run_ms = RUN_MS;
     let share: f64 = *[0.0, 0.3, 0.7].choose(&mut random).unwrap();
     let allowed: Vec<u32> = (0..workers)
--- a/crates/scheduler/tests/support/advice_site.rs
+++ b/crates/scheduler/tests/support/advice_site.rs
@@ -21,7 +21,7 @@
 #[derive(Debug, Clone)]
 pub struct Asked {
     pub at_ms: u64,
-    pub caller: String,
+    pub vm: String,
     pub step: String,
     pub workers: Vec<String>,
 }
@@ -99,10 +99,10 @@
 
 impl AdviceSite {
     /// Returns a site with this many workers of 8 accelerators, and VMs that can send queries.
-    pub fn new(workers: u32, callers: usize, figures: Advice) -> AdviceSite {
+    pub fn new(workers: u32, vms: usize, figures: Advice) -> AdviceSite {
         let mut harness = Harness::with_workers(workers);
-        let names: Vec<String> = (0..callers).map(|number| format!("vm-{number}")).collect();
-        harness.planner.set_advice_callers(&names);
+        let names: Vec<String> = (0..vms).map(|number| format!("vm-{number}")).collect();
+        harness.planner.set_advice_vms(&names);
         harness.planner.set_configuration(&Configuration {
             version: 1,
             queues: vec![Queue {
@@ -280,14 +280,14 @@
         let now_ms = self.harness.now_ms;
         let (behaviour, figures) = (self.behaviour, self.figures);
         let mut outcomes = Vec::new();
-        for (caller, turn) in &mut self.turns {
+        for (vm, turn) in &mut self.turns {
             for waiting in &mut turn.waiting {
                 if now_ms >= waiting.gives_up_ms {
                     outcomes.push((waiting.key, None));
                     waiting.gives_up_ms = u64::MAX;
                 }
             }
-            if self.silent.contains(caller) || behaviour == Behaviour::Silent {
+            if self.silent.contains(vm) || behaviour == Behaviour::Silent {
                 continue;
             }
             let factor = match behaviour {
@@ -333,7 +333,7 @@
         match &order {
             Order::Ask {
                 query,
-                caller,
+                vm,
                 step,
                 workers,
                 timeout_ms,
@@ -341,7 +341,7 @@
             } => {
                 self.asked.push(Asked {
                     at_ms: now_ms,
-                    caller: caller.clone(),
+                    vm: vm.clone(),
                     step: step.clone(),
                     workers: workers.clone(),
                 });
@@ -350,7 +350,7 @@
                 }
                 let turn = match self.has_one_turn {
                     true => String::new(),
-                    false => caller.clone(),
+                    false => vm.clone(),
                 };
                 let turn = self.turns.entry(turn).or_default();
                 turn.waiting.push_back(Waiting {
--- a/crates/soak/src/advice.rs
+++ b/crates/soak/src/advice.rs
@@ -1,11 +1,21 @@
-//! Draws a queue with an advice policy: its figures, jobs of it, and times in which the service is in trouble.
+//! A queue with an advice policy: draws its figures, jobs of it, and times in which the service is in trouble; runs the service.
 
-use platform_standin::{AdviceFault, AdvicePolicy, StepSpec};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use platform_standin::{AdviceFault, AdvicePolicy, StandIn, StepSpec};
 use rand::RngExt;
 use rand::seq::IndexedRandom;
 use rand_pcg::Pcg64;
+use serde_json::json;
+use tokio::time::sleep;
 
+use crate::addresses::Addresses;
 use crate::plan::{Fault, FaultKind, LEAD_IN_MS, MOST_ATTEMPTS, PlannedJob, draw_fault};
+use crate::process::Process;
+use crate::site::{NODES, Site, lock};
 
 /// Probability that a play has such a queue.
 const ADVISED: f64 = 0.6;
@@ -118,3 +128,57 @@
         _ => AdviceFault::Slow(2 + fault.pick % 10),
     }
 }
+
+/// The advice service.
+#[derive(Debug)]
+pub(crate) struct AdvicePlace {
+    /// Where each node reaches it.
+    pub addresses: Vec<SocketAddr>,
+    control: SocketAddr,
+    process: Mutex<Option<Process>>,
+}
+
+impl Site {
+    /// Starts the service.
+    pub(crate) fn start_advice(
+        &self,
+        addresses: &mut Addresses,
+        policy: AdvicePolicy,
+    ) -> io::Result<AdvicePlace> {
+        let control = addresses.next();
+        let addresses: Vec<SocketAddr> = (0..NODES).map(|_| addresses.next()).collect();
+        let process = self.spawn_standin(&StandIn::Advice {
+            addresses: addresses.clone(),
+            control,
+            policy,
+        })?;
+        Ok(AdvicePlace {
+            addresses,
+            control,
+            process: Mutex::new(Some(process)),
+        })
+    }
+
+    /// Lets the advice service have a fault for a time.
+    pub(crate) async fn harm_advice(&self, fault: AdviceFault, lasts: Duration) {
+        let Some(advice) = &self.advice else {
+            return;
+        };
+        self.control(advice.control, "fault", &json!(fault)).await;
+        sleep(lasts).await;
+        let none = json!(AdviceFault::None);
+        self.control(advice.control, "fault", &none).await;
+    }
+
+    /// Notes that the service has ended by itself.
+    pub(crate) fn look_after_advice(&self) {
+        let Some(advice) = &self.advice else {
+            return;
+        };
+        let ended = lock(&advice.process).as_mut().and_then(Process::ended);
+        if let Some(how) = ended {
+            *lock(&advice.process) = None;
+            self.note_own_end("advice", &how);
+        }
+    }
+}
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -1,6 +1,7 @@
 //! A soak of the real programs: plays sites of separate processes on loopback under faults drawn from a seed, and checks
 //! the promises by what callers, workers and the store saw.
 
+mod addresses;
 mod advice;
 mod attempts;
 mod callers;
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::ffi::OsString;
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
@@ -11,15 +11,15 @@
 use std::time::Duration;
 
 use platform_standin::{
-    AdviceFault, AdvicePolicy, Caller, GangBoard, Note, Notebook, Reply, STANDIN_VARIABLE, StandIn,
-    WorkerEvent, WorkerSpec, declared_queues, gang_folder, notes_file, read_notes, steady_ms,
-    unix_ms,
+    AdvicePolicy, Caller, GangBoard, Note, Notebook, Reply, STANDIN_VARIABLE, StandIn, WorkerEvent,
+    WorkerSpec, declared_queues, gang_folder, notes_file, read_notes, steady_ms, unix_ms,
 };
 use serde_json::{Value, json};
-use tokio::net::TcpSocket;
 use tokio::process::Command;
 use tokio::time::sleep;
 
+use crate::addresses::Addresses;
+use crate::advice::AdvicePlace;
 use crate::callers::WITHDRAWN_KEY;
 use crate::link::Link;
 use crate::play::PlayError;
@@ -90,15 +90,6 @@
     on: BTreeMap<u64, (&'static str, u64)>,
 }
 
-/// The advice service.
-#[derive(Debug)]
-struct AdvicePlace {
-    /// Where each node reaches it.
-    addresses: Vec<SocketAddr>,
-    control: SocketAddr,
-    process: Mutex<Option<Process>>,
-}
-
 /// A fault as it was carried out.
 #[derive(Debug, Clone)]
 pub struct Incident {
@@ -121,7 +112,7 @@
     store_faults: tokio::sync::Mutex<StoreFaults>,
     /// The policy of the queue that has one.
     pub(crate) policy: Option<AdvicePolicy>,
-    advice: Option<AdvicePlace>,
+    pub(crate) advice: Option<AdvicePlace>,
     pub(crate) nodes: Vec<NodePlace>,
     pub(crate) workers: Vec<Place>,
     pub(crate) http: reqwest::Client,
@@ -137,39 +128,6 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Hands out free addresses. Each play has an IP address of its own, where no outgoing connection takes a port.
-#[derive(Debug)]
-struct Addresses {
-    ip: Ipv4Addr,
-    next_port: u16,
-}
-
-impl Addresses {
-    fn new() -> Addresses {
-        static PLAYS: AtomicU32 = AtomicU32::new(0);
-        let play = PLAYS.fetch_add(1, Ordering::SeqCst) as u16;
-        let [_, high, middle, low] = std::process::id().to_be_bytes();
-        Addresses {
-            ip: Ipv4Addr::new(127, 16 + high % 64, middle, low),
-            next_port: 10_000 + (play % 25) * 2_000,
-        }
-    }
-
-    fn next(&mut self) -> SocketAddr {
-        loop {
-            self.next_port += 1;
-            let address = SocketAddr::from((self.ip, self.next_port));
-            // A socket that listened would be in the way for a moment if another thread forks just now.
-            let bound = TcpSocket::new_v4().is_ok_and(|socket| {
-                socket.set_reuseaddr(true).is_ok() && socket.bind(address).is_ok()
-            });
-            if bound {
-                return address;
-            }
-        }
-    }
-}
-
 /// Waits until `ready` holds.
 async fn until<F: Future<Output = bool>>(
     what: &'static str,
@@ -258,7 +216,7 @@
         true
     }
 
-    fn spawn_standin(&self, standin: &StandIn) -> io::Result<Process> {
+    pub(crate) fn spawn_standin(&self, standin: &StandIn) -> io::Result<Process> {
         let [program, arguments @ ..] = &self.programs.standin[..] else {
             return Err(io::ErrorKind::NotFound.into());
         };
@@ -275,36 +233,6 @@
         Process::spawn(&mut command)
     }
 
-    fn start_advice(
-        &self,
-        addresses: &mut Addresses,
-        policy: AdvicePolicy,
-    ) -> io::Result<AdvicePlace> {
-        let control = addresses.next();
-        let addresses: Vec<SocketAddr> = (0..NODES).map(|_| addresses.next()).collect();
-        let process = self.spawn_standin(&StandIn::Advice {
-            addresses: addresses.clone(),
-            control,
-            policy,
-        })?;
-        Ok(AdvicePlace {
-            addresses,
-            control,
-            process: Mutex::new(Some(process)),
-        })
-    }
-
-    /// Lets the advice service have a fault for a time.
-    pub(crate) async fn harm_advice(&self, fault: AdviceFault, lasts: Duration) {
-        let Some(advice) = &self.advice else {
-            return;
-        };
-        self.control(advice.control, "fault", &json!(fault)).await;
-        sleep(lasts).await;
-        let none = json!(AdviceFault::None);
-        self.control(advice.control, "fault", &none).await;
-    }
-
     fn prepare_worker(&self, addresses: &mut Addresses, number: usize) -> io::Result<Place> {
         let listen = addresses.next();
         let id = format!("i-{number:02}");
@@ -534,13 +462,7 @@
             *lock(&self.store_process) = None;
             self.note_own_end("store", &how);
         }
-        let advice = self.advice.as_ref().map(|advice| lock(&advice.process));
-        if let Some(mut process) = advice
-            && let Some(how) = process.as_mut().and_then(Process::ended)
-        {
-            *process = None;
-            self.note_own_end("advice", &how);
-        }
+        self.look_after_advice();
         Ok(())
     }
 
