End no more tasks of a step than may be away, also for maintenance

What callers saw: the maintenance of one machine ended all tasks of a step on it at once, four where one may be away (AVAIL).

Cause: drain_worker stopped everything at the same time; no order counted the tasks that are away.

Change: one count for all orders that end tasks. A task is away from the order until it is reported at work, or once it has not been at work for almost notice_ms (a new bound of the settings); a new planner takes all tasks for away until it has heard of them. Maintenance keeps to it, and stops the other work of the machine only once none of the limited tasks is left.

Why this works: the next task is ended only once the one before is at work elsewhere.

--- a/crates/control/src/maintenance.rs
+++ b/crates/control/src/maintenance.rs
@@ -1,6 +1,6 @@
 //! Carries out the waves of machine maintenance that the operator requests.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -38,6 +38,8 @@
     written: Option<(WaveRecord, bool)>,
     /// The revision of that write; 0 before the first one.
     revision: u64,
+    /// Machines for which it was logged that they wait for tasks that may not be ended yet.
+    kept_up: BTreeSet<String>,
 }
 
 impl Wave {
@@ -143,6 +145,7 @@
             written: Some((progress.record(), true)),
             progress,
             revision,
+            kept_up: BTreeSet::new(),
         });
     }
     // Without a readable record, machines that had their maintenance say so when it is ordered again.
@@ -153,6 +156,7 @@
         progress: WaveProgress::restore(requested, record, now_ms()),
         written: None,
         revision,
+        kept_up: BTreeSet::new(),
     })
 }
 
@@ -176,8 +180,19 @@
     }
     let number = wave.progress.wave().number;
     for machine in chosen {
-        if let Some(worker) = &machine.drain {
-            drain_worker(term, worker).await;
+        if let Some(worker) = &machine.drain
+            && !drain_worker(term, worker).await
+        {
+            if wave.kept_up.insert(machine.name.clone()) {
+                let fields = [
+                    ("wave", Value::from(number)),
+                    ("machine", Value::from(machine.name)),
+                ];
+                term.node
+                    .log
+                    .general("upkeep", "waits for tasks that may not be away", &fields);
+            }
+            continue;
         }
         if !term.is_lead_valid() {
             return Ok(());
@@ -207,11 +222,25 @@
     write_progress(term, wave).await.map(|_| ())
 }
 
-/// Stops what runs on a worker, and waits until it is empty or the time for that is used up.
-async fn drain_worker(term: &Term, worker: &str) {
+/// Stops what runs on a worker, and waits until it is empty or the time for that is used up. Returns false, without a
+/// wait, if the worker runs tasks that may not be ended yet: the machine stays up until they are at work elsewhere.
+async fn drain_worker(term: &Term, worker: &str) -> bool {
     let until_ms = now_ms() + term.node.settings.bounds.stop_grace_ms + DRAIN_MARGIN_MS;
-    while term.lock_planner().drain_worker(worker, now_ms()) > 0 && now_ms() < until_ms {
-        term.wake.notify_one();
+    loop {
+        let (occupied, kept_up) = {
+            let mut planner = term.lock_planner();
+            let occupied = planner.drain_worker(worker, now_ms());
+            (occupied, planner.is_kept_up(worker))
+        };
+        if occupied > 0 {
+            term.wake.notify_one();
+        }
+        if kept_up {
+            return false;
+        }
+        if occupied == 0 || now_ms() >= until_ms {
+            return true;
+        }
         tokio::time::sleep(Duration::from_millis(DRAIN_POLL_MS)).await;
     }
 }
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -83,6 +83,8 @@
     pub contact_ms: u64,
     /// The longest time that stopping a task takes.
     pub stop_grace_ms: u64,
+    /// A task that has not been at work for this long counts as unavailable, whatever the cause.
+    pub notice_ms: u64,
     /// The longest lease that a worker grants.
     pub longest_lease_ms: u64,
     /// How long a key may still be honoured after its removal.
@@ -102,6 +104,7 @@
         Bounds {
             contact_ms: 4_000,
             stop_grace_ms: 900,
+            notice_ms: 5_500,
             longest_lease_ms: 10_000,
             revoke_ms: 5_000,
             reclaim_ms: 2_900,
--- a/crates/control/src/term.rs
+++ b/crates/control/src/term.rs
@@ -125,6 +125,7 @@
             .saturating_sub(LEASE_LENGTH_MARGIN_MS),
         predecessor_renewal_ms: lead_ttl_ms(node) + RENEW_WORKERS_WITHOUT_LEAD_MS,
         stop_grace_ms: bounds.stop_grace_ms,
+        notice_ms: bounds.notice_ms,
         reclaim_ms: bounds.reclaim_ms,
         unresponsive_ms: UNRESPONSIVE_AFTER_MS,
         remote_slowdown: bounds.remote_slowdown.max(1.0).round() as u64,
--- a/crates/scheduler/src/events.rs
+++ b/crates/scheduler/src/events.rs
@@ -6,6 +6,7 @@
 use crate::job::{Job, JobState};
 use crate::orders::Order;
 use crate::planner::Planner;
+use crate::policy::availability::Presence;
 use crate::record::StoredJob;
 use crate::spec::Resources;
 use crate::task::{JobId, TaskName};
@@ -14,6 +15,9 @@
 /// A worker that answered this long ago, or earlier, may have restarted since.
 const SHORTEST_RESTART_MS: u64 = 100;
 
+/// The share that a worker reports of a task that lasts while it is at work.
+const AT_WORK_PERCENT: u32 = 100;
+
 impl Planner {
     /// Adds an accepted job; `order` rises with the order of acceptance.
     pub fn add_job(&mut self, stored: StoredJob, order: u64, now_ms: u64) {
@@ -256,6 +260,9 @@
             };
             task.started_ms = now_ms;
         }
+        if percent >= AT_WORK_PERCENT && matches!(task.phase, Phase::Running { .. }) {
+            task.presence = Presence::at_work(now_ms);
+        }
         self.record_start(key.group.job);
         if grew && let Some(worker) = self.workers.get_mut(worker) {
             worker.health.record_work(began_ms);
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -4,6 +4,7 @@
 
 use crate::advice::Tickets;
 use crate::crashes::CrashCounts;
+use crate::policy::availability::Presence;
 use crate::policy::stragglers::Growth;
 use crate::spec::StepSpec;
 use crate::worker::WorkerKey;
@@ -123,6 +124,8 @@
     pub is_done_before: bool,
     /// How the reported share of the current run has grown.
     pub growth: Growth,
+    /// Whether it works for its users, if it lasts.
+    pub presence: Presence,
 }
 
 impl Task {
@@ -152,6 +155,7 @@
             start_in_doubt: false,
             is_done_before: false,
             growth: Growth::default(),
+            presence: Presence::at_work(now_ms),
         }
     }
 
--- a/crates/scheduler/src/leaving.rs
+++ b/crates/scheduler/src/leaving.rs
@@ -190,7 +190,7 @@
     }
 
     /// Returns whether a task works or is about to.
-    fn works(&self, key: TaskKey) -> bool {
+    pub(crate) fn works(&self, key: TaskKey) -> bool {
         self.task(key).is_some_and(|task| {
             matches!(
                 task.phase,
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -4,6 +4,7 @@
 //! The process that holds the leadership feeds it, stores its records and carries out its [`Order`]s.
 
 mod advice;
+mod availability;
 mod configuration;
 mod counts;
 mod crashes;
--- a/crates/scheduler/src/maintenance.rs
+++ b/crates/scheduler/src/maintenance.rs
@@ -410,8 +410,9 @@
 }
 
 impl Planner {
-    /// Drains a worker whose machine goes down: it gets no new work and its tasks are stopped. Returns the number of
-    /// tasks and orphaned runs that still occupy its capacity; 0 for an unknown worker.
+    /// Drains a worker whose machine goes down: it gets no new work and its tasks are stopped, those of a step with a
+    /// limit on unavailable tasks as far as the limit allows, and all others after them. Returns the number of tasks and
+    /// orphaned runs that still occupy its capacity; 0 for an unknown worker.
     pub fn drain_worker(&mut self, id: &str, now_ms: u64) -> usize {
         let Some(key) = self.by_id.get(id).copied() else {
             return 0;
@@ -420,8 +421,22 @@
             return 0;
         };
         worker.draining = true;
-        let tasks: Vec<TaskKey> = worker.tasks.keys().copied().collect();
-        for task in &tasks {
+        let mut tasks: Vec<TaskKey> = worker.tasks.keys().copied().collect();
+        tasks.sort_unstable();
+        let (limited, others): (Vec<TaskKey>, Vec<TaskKey>) = tasks
+            .into_iter()
+            .partition(|task| self.is_limited(task.group));
+        for task in limited {
+            if self.works(task) && self.may_end(task, now_ms) {
+                self.stop_with_gang(task, now_ms);
+            }
+        }
+        // The other work goes on as long as the machine cannot go down.
+        let others = match self.is_kept_up(id) {
+            true => Vec::new(),
+            false => others,
+        };
+        for task in &others {
             let gang = self.is_gang(task.group);
             self.stop_task(*task, now_ms);
             if gang {
@@ -433,6 +448,15 @@
             .map_or(0, |w| w.tasks.len() + w.orphaned_runs.len())
     }
 
+    /// Returns whether a worker runs tasks that may not be ended before others of their step are at work again.
+    pub fn is_kept_up(&self, id: &str) -> bool {
+        let worker = self.by_id.get(id).and_then(|key| self.workers.get(*key));
+        let tasks = worker.into_iter().flat_map(|worker| worker.tasks.keys());
+        tasks
+            .filter(|task| self.works(**task))
+            .any(|task| self.is_limited(task.group))
+    }
+
     /// Lets all drained workers work again but those with these ids.
     pub fn keep_draining(&mut self, ids: &HashSet<&str>) {
         for worker in self.workers.values_mut().filter(|w| w.draining) {
--- a/crates/scheduler/src/planner.rs
+++ b/crates/scheduler/src/planner.rs
@@ -32,6 +32,8 @@
     pub predecessor_renewal_ms: u64,
     /// The longest time that a stop takes.
     pub stop_grace_ms: u64,
+    /// A task that has not been at work for this long counts as unavailable, whatever the cause.
+    pub notice_ms: u64,
     /// The time after acceptance within which a guaranteed job must have started.
     pub reclaim_ms: u64,
     /// A worker that has not answered for this long gets no new work.
@@ -378,6 +380,7 @@
             worker,
             confirmed_ms: None,
         };
+        task.presence.record_order();
         if !again {
             task.since_ms = now_ms;
         }
--- a/crates/scheduler/src/policy/mod.rs
+++ b/crates/scheduler/src/policy/mod.rs
@@ -4,6 +4,7 @@
 //! keeps the state of all parts in one [`Policy`], feeds it, and carries out what it decides. What a successor needs of
 //! that state is written to the store as [`SharesRecord`] and [`LearnedRecord`].
 
+pub(crate) mod availability;
 pub(crate) mod departures;
 pub(crate) mod durations;
 pub(crate) mod failures;
--- a/crates/scheduler/src/restore.rs
+++ b/crates/scheduler/src/restore.rs
@@ -3,6 +3,7 @@
 use crate::group::{GangFailures, GroupKey, JobKey, Phase, TaskKey};
 use crate::job::JobState;
 use crate::planner::Planner;
+use crate::policy::availability::Presence;
 use crate::record::{GroupRecord, JobRecord, StoredJob, StoredWorker};
 use crate::spec::Resources;
 use crate::worker::{WorkerEntry, WorkerKey};
@@ -32,6 +33,9 @@
         for group in 0..job.groups.len() {
             job.groups[group].was_ready_before =
                 job.stored.request.timing.times == 0 && job.is_unblocked(group);
+            for task in &mut job.groups[group].tasks {
+                task.presence = Presence::unknown(now_ms);
+            }
         }
         let Some(record) = record else {
             return;
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -5,6 +5,7 @@
 pub mod advice_site;
 pub mod crash_site;
 pub mod crest;
+pub mod guarantee_site;
 pub mod idle_site;
 pub mod live_site;
 pub mod live_worker;
@@ -23,6 +24,7 @@
         lease_ms: 9_500,
         predecessor_renewal_ms: 14_500,
         stop_grace_ms: 400,
+        notice_ms: 5_500,
         reclaim_ms: 2_900,
         unresponsive_ms: 2_900,
         remote_slowdown: 3,
