Stop urgent work that no guarantee covers for a job within its guarantee

Cause: preemption took work of lower priority only; that a guarantee is about to be broken raised the bound on what may be discarded, but added no victims.

Change: guarantees cover the unfinished urgent jobs of their organisations in the order of acceptance (policy/guarantees.rs); for a job within its guarantee that could not begin in time otherwise, all work that is not covered may be stopped, urgent work last. The members of a gang on all workers count as the room of one stop; a job whose rack cannot be reclaimed starts elsewhere; a guarantee that no stop can meet is logged.

Why this works: what is stopped is never covered, and only organisations within their guarantees have urgent work stopped, so no two stop each other's work in turn (docs/design/guarantees.md).

--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -221,6 +221,8 @@
     pub was_ready_before: bool,
     /// Whether it was logged that a group of another organisation went before it.
     pub is_passed_over: bool,
+    /// Whether it was logged that no stop makes room for it although its organisation's guarantee covers it.
+    pub is_shortfall_logged: bool,
     /// How often runs of it were moved because they stood still.
     pub moves: u32,
     /// The worker on which a run of it stood still, and until when the group avoids it.
@@ -242,6 +244,7 @@
             ready_ms: None,
             was_ready_before: false,
             is_passed_over: false,
+            is_shortfall_logged: false,
             moves: 0,
             shunned: None,
         }
--- a/crates/scheduler/src/policy/mod.rs
+++ b/crates/scheduler/src/policy/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod departures;
 pub(crate) mod durations;
 pub(crate) mod failures;
+pub(crate) mod guarantees;
 pub(crate) mod interference;
 pub(crate) mod machine;
 mod memory;
--- a/crates/scheduler/src/preempt.rs
+++ b/crates/scheduler/src/preempt.rs
@@ -1,11 +1,13 @@
 //! Preempts the work that loses least so that urgent work (priority 0) can start.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashSet};
 
+use crate::coverage::Coverage;
 use crate::fit::{Candidate, split_by_rack};
-use crate::group::{GroupKey, JobKey, Phase, TaskKey};
+use crate::group::{GroupKey, Phase, TaskKey};
 use crate::overdue::Reach;
 use crate::planner::Planner;
+use crate::preemption_plan::{PreemptionPlan, Victim, Victims, plan_on_candidates};
 use crate::spec::Resources;
 use crate::worker::WorkerKey;
 
@@ -23,30 +25,34 @@
 /// Loss of a task that has few starts left: more than is acceptable for anything but a guarantee.
 const LOSS_OF_FEW_STARTS_CORE_MS: i64 = 1_000 * MAX_LOSS_ON_TIME_CORE_MS;
 
+/// What is added to the loss of a task whose step has a limit on unavailable tasks, so that other work is stopped first.
+const WEIGHT_OF_LIMITED_CORE_MS: i64 = LOSS_OF_FEW_STARTS_CORE_MS;
+
+/// The same for urgent work, which is stopped last.
+const WEIGHT_OF_URGENT_CORE_MS: i64 = 2 * WEIGHT_OF_LIMITED_CORE_MS;
+
 /// Part of the reclaim time of a guaranteed job that is reserved for repeating a start.
 const RECLAIM_MARGIN_MS: u64 = 800;
 
 /// Urgent work is worth less once it is late, and nothing once it took this many times as long as it may and be on time.
 const WORTHWHILE_FACTOR: u64 = 3;
 
-/// A task that can be stopped, and the core-milliseconds that this discards.
+/// The work that may be stopped for an urgent group.
 #[derive(Debug, Clone, Copy)]
-struct Victim {
-    task: TaskKey,
-    resources: Resources,
-    loss: i64,
-    /// The loss as it counts in the choice of victims; see [`Shares::weigh_loss`](crate::policy::shares::Shares::weigh_loss).
-    weighed_loss: i64,
+enum Stoppable<'c> {
+    /// Work of lower priority whose step has no limit on unavailable tasks.
+    LessUrgent,
+    /// All work that no guarantee covers, as far as the limits on unavailable tasks allow it.
+    NotCovered(&'c Coverage),
 }
 
-/// A preemption: where the tasks go, which tasks are stopped, and the core-milliseconds that this discards.
-#[derive(Debug, Default)]
-struct PreemptionPlan {
-    places: Vec<WorkerKey>,
-    victims: Vec<TaskKey>,
-    loss: i64,
-    /// The same as it counts in the choice of victims.
-    weighed_loss: i64,
+/// The racks on which a group may start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RackChoice {
+    /// That of its data, and only one if it has to be one.
+    Preferred,
+    /// All.
+    Any,
 }
 
 impl Planner {
@@ -74,16 +80,26 @@
         if waiting.is_empty() || (gang && waiting.len() < group_state.tasks.len()) {
             return Vec::new();
         }
-        let Some(plan) = self.plan_preemption(group, waiting.len(), now_ms) else {
+        let waited_ms = now_ms.saturating_sub(group_state.ready_ms.unwrap_or(now_ms));
+        let must_reclaim = self.must_reclaim(group, waited_ms);
+        let (count, racks) = (waiting.len(), RackChoice::Preferred);
+        let usual = self.plan_preemption(group, count, racks, Stoppable::LessUrgent, now_ms);
+        let plan = match must_reclaim {
+            true => usual.or_else(|| self.plan_reclaim(group, count, now_ms)),
+            false => usual,
+        };
+        let Some(plan) = plan else {
+            if must_reclaim {
+                self.record_shortfall(group, waited_ms, now_ms);
+            }
             return Vec::new();
         };
-        let waited_ms = now_ms.saturating_sub(group_state.ready_ms.unwrap_or(now_ms));
         if plan.loss > self.max_acceptable_loss(group, waited_ms) {
             return self.choose_withheld(group, plan, waited_ms, now_ms);
         }
-        let id = job.stored.id;
+        let id = self.jobs[group.job].stored.id;
         let why = format!(
-            "waited {waited_ms} ms; stops {} tasks to start {} of priority 0, discards {} core-ms",
+            "waited {waited_ms} ms; stops {} tasks or gangs to start {} of priority 0, discards {} core-ms",
             plan.victims.len(),
             plan.places.len(),
             plan.loss
@@ -163,15 +179,11 @@
     /// while the group can still be on time, counting the time of the stops, and unbounded when the guarantee of its
     /// organisation would be broken otherwise.
     fn max_acceptable_loss(&self, group: GroupKey, waited_ms: u64) -> i64 {
-        let job = &self.jobs[group.job];
-        let stop_ms = self.limits.stop_grace_ms + ORDER_DELIVERY_MARGIN_MS;
-        let reclaim_ms = self
-            .limits
-            .reclaim_ms
-            .saturating_sub(stop_ms + RECLAIM_MARGIN_MS);
-        if waited_ms >= reclaim_ms && self.is_guaranteed(group.job) {
+        if self.must_reclaim(group, waited_ms) {
             return i64::MAX;
         }
+        let job = &self.jobs[group.job];
+        let stop_ms = self.limits.stop_grace_ms + ORDER_DELIVERY_MARGIN_MS;
         let slack_ms = job
             .slack_ms(self.expected_run_ms(group))
             .saturating_sub(stop_ms)
@@ -182,22 +194,53 @@
         }
     }
 
-    /// Returns whether an urgent job is covered by the guarantee of its organisation: all its unfinished urgent jobs
-    /// together need no more accelerators than are guaranteed.
-    fn is_guaranteed(&self, key: JobKey) -> bool {
-        let organisation = self.jobs[key].stored.organisation.as_str();
-        let needed = self.sum_urgent_needs().remove(organisation).unwrap_or(0);
-        needed <= self.guaranteed.get(organisation).copied().unwrap_or(0)
+    /// Returns whether a group has waited so long that its organisation's guarantee would be broken without stops.
+    fn must_reclaim(&self, group: GroupKey, waited_ms: u64) -> bool {
+        let stop_ms = self.limits.stop_grace_ms + ORDER_DELIVERY_MARGIN_MS;
+        let longest_wait_ms = self
+            .limits
+            .reclaim_ms
+            .saturating_sub(stop_ms + RECLAIM_MARGIN_MS);
+        waited_ms >= longest_wait_ms && self.is_guaranteed(group.job)
+    }
+
+    /// Plans the stops of work that no guarantee covers. The racks that the group prefers come before the choice of
+    /// victims: away from its data, it holds its room for longer.
+    fn plan_reclaim(&self, group: GroupKey, count: usize, now_ms: u64) -> Option<PreemptionPlan> {
+        let coverage = self.find_coverage();
+        let not_covered = Stoppable::NotCovered(&coverage);
+        let plan = |racks, stoppable| self.plan_preemption(group, count, racks, stoppable, now_ms);
+        plan(RackChoice::Preferred, not_covered)
+            .or_else(|| plan(RackChoice::Any, Stoppable::LessUrgent))
+            .or_else(|| plan(RackChoice::Any, not_covered))
     }
 
-    /// Returns the accelerators that all unfinished urgent jobs of each organisation need together.
-    pub(crate) fn sum_urgent_needs(&self) -> HashMap<&str, i64> {
-        let mut needs = HashMap::new();
-        let unfinished = self.jobs.values().filter(|job| !job.state.is_final());
-        for job in unfinished.filter(|job| job.stored.priority == 0) {
-            *needs.entry(job.stored.organisation.as_str()).or_insert(0) += job.accelerators();
+    /// Logs, once, that no stops make room for a group although its organisation's guarantee covers it.
+    fn record_shortfall(&mut self, group: GroupKey, waited_ms: u64, now_ms: u64) {
+        let state = &mut self.jobs[group.job].groups[group.group as usize];
+        if std::mem::replace(&mut state.is_shortfall_logged, true) {
+            return;
         }
-        needs
+        let coverage = self.find_coverage();
+        let (mut covered, mut limited, mut changing) = (0, 0, 0);
+        let candidates = self.candidates(group, Reach::Usual, now_ms);
+        for candidate in &candidates {
+            for task in self.workers[candidate.worker].tasks.keys() {
+                if coverage.covers(*task) {
+                    covered += 1;
+                } else if !self.is_stoppable(*task) {
+                    changing += 1;
+                } else if !self.may_end(*task, now_ms) {
+                    limited += 1;
+                }
+            }
+        }
+        let why = format!(
+            "waited {waited_ms} ms; on {} workers {covered} tasks are covered by guarantees, {limited} may not be away, {changing} start or stop",
+            candidates.len()
+        );
+        let id = self.jobs[group.job].stored.id;
+        self.record_decision(Some(id), "guarantee not met", why);
     }
 
     /// Preempts a task; if it belongs to a gang, the whole gang.
@@ -216,17 +259,23 @@
         &self,
         group: GroupKey,
         count: usize,
+        racks: RackChoice,
+        stoppable: Stoppable<'_>,
         now_ms: u64,
     ) -> Option<PreemptionPlan> {
         let step = self.jobs[group.job].step_of(group.group as usize);
         let need = self.need(group);
         let mut candidates = self.candidates(group, Reach::Usual, now_ms);
-        if let Some(rack) = &step.data_rack {
+        if racks == RackChoice::Preferred
+            && let Some(rack) = &step.data_rack
+        {
             let rack = self.racks.find(rack);
             candidates.retain(|candidate| Some(candidate.rack) == rack);
         }
-        let victims = self.list_victims(group, &candidates, now_ms);
-        let one_rack = step.one_rack && count <= self.max_tasks_on_one_rack(group);
+        let victims = self.list_victims(group, &candidates, stoppable, now_ms);
+        let one_rack = racks == RackChoice::Preferred
+            && step.one_rack
+            && count <= self.max_tasks_on_one_rack(group);
         let by_rack = split_by_rack(&candidates)
             .filter_map(|rack| plan_on_candidates(rack.to_vec(), &victims, &need, count))
             .min_by_key(|plan| plan.weighed_loss);
@@ -236,46 +285,86 @@
         by_rack.or_else(|| plan_on_candidates(candidates, &victims, &need, count))
     }
 
-    /// Returns the tasks that can be preempted on each worker, those with the least loss first.
+    /// Returns the tasks that can be stopped for a group.
     fn list_victims(
         &self,
         group: GroupKey,
         candidates: &[Candidate],
+        stoppable: Stoppable<'_>,
         now_ms: u64,
-    ) -> HashMap<WorkerKey, Vec<Victim>> {
+    ) -> Victims {
         let own = self.jobs[group.job].stored.priority;
-        let mut all = HashMap::new();
+        let mut victims = Victims::default();
         for candidate in candidates {
-            let mut here: Vec<Victim> = self.workers[candidate.worker]
-                .tasks
-                .keys()
-                .filter(|task| self.is_preemptible(**task, own))
-                .map(|task| {
-                    let loss = self.loss(*task, now_ms);
-                    let account = self.jobs[task.group.job].account;
-                    Victim {
-                        task: *task,
-                        resources: self.need(task.group),
-                        loss,
-                        weighed_loss: self.policy.shares.weigh_loss(account, loss),
-                    }
-                })
+            let tasks = self.workers[candidate.worker].tasks.keys().copied();
+            let tasks = tasks.filter(|task| self.is_preemptible(*task, own, stoppable));
+            // Members of a gang are stopped together, so they are one victim on each worker.
+            let mut units: BTreeMap<(GroupKey, u32), (TaskKey, Resources)> = BTreeMap::new();
+            for task in tasks {
+                let unit = match self.is_gang(task.group) {
+                    true => (task.group, 0),
+                    false => (task.group, task.index),
+                };
+                let (first, resources) = units.entry(unit).or_insert((task, Resources::default()));
+                *first = task.min(*first);
+                *resources += self.need(task.group);
+            }
+            let mut here: Vec<Victim> = units
+                .into_values()
+                .map(|(task, resources)| self.describe_victim(task, resources, now_ms))
                 .collect();
             here.sort_by_key(|victim| (victim.weighed_loss, victim.task));
-            all.insert(candidate.worker, here);
+            for victim in &here {
+                let limited = victim.task.group;
+                if let Some(endable) = self.count_endable_tasks(limited, now_ms) {
+                    victims.endable.insert(limited, endable);
+                }
+            }
+            victims.by_worker.insert(candidate.worker, here);
+        }
+        victims
+    }
+
+    /// Returns what the stop of a task, or of its gang, frees on its worker and discards.
+    fn describe_victim(&self, task: TaskKey, resources: Resources, now_ms: u64) -> Victim {
+        let job = &self.jobs[task.group.job];
+        let is_limited = self.is_limited(task.group);
+        let weight = match (job.stored.priority, is_limited) {
+            (0, _) => WEIGHT_OF_URGENT_CORE_MS,
+            (_, true) => WEIGHT_OF_LIMITED_CORE_MS,
+            (_, false) => 0,
+        };
+        let loss = self.loss(task, now_ms);
+        let weighed_loss = self.policy.shares.weigh_loss(job.account, loss);
+        Victim {
+            task,
+            resources,
+            loss,
+            weighed_loss: weighed_loss.saturating_add(weight),
+            is_gang: self.is_gang(task.group),
+            ended_at_work: match is_limited {
+                true => self.count_ended_at_work(task, now_ms),
+                false => 0,
+            },
         }
-        all
     }
 
-    fn is_preemptible(&self, key: TaskKey, by_priority: u32) -> bool {
-        let job = &self.jobs[key.group.job];
+    /// Returns whether a task runs, and neither it nor its gang is being stopped.
+    fn is_stoppable(&self, key: TaskKey) -> bool {
+        let group = &self.jobs[key.group.job].groups[key.group.group as usize];
         let running = matches!(self.task(key).map(|t| t.phase), Some(Phase::Running { .. }));
-        running
-            && job.stored.priority > by_priority
-            && job.step_of(key.group.group as usize).most_away.is_none()
-            && job.groups[key.group.group as usize]
-                .teardown_since_ms
-                .is_none()
+        running && group.teardown_since_ms.is_none()
+    }
+
+    fn is_preemptible(&self, key: TaskKey, by_priority: u32, stoppable: Stoppable<'_>) -> bool {
+        let is_less_urgent = self.jobs[key.group.job].stored.priority > by_priority;
+        self.is_stoppable(key)
+            && match stoppable {
+                Stoppable::LessUrgent => is_less_urgent && !self.is_limited(key.group),
+                Stoppable::NotCovered(coverage) => {
+                    (is_less_urgent || !coverage.covers(key)) && !self.is_limited(key.group)
+                }
+            }
     }
 
     /// Returns the core-milliseconds discarded by stopping a task, including the rest of its gang.
@@ -295,64 +384,3 @@
             .saturating_add(1)
     }
 }
-
-/// Plans a preemption for `count` tasks on the given candidates, choosing for each the candidate with the least loss.
-fn plan_on_candidates(
-    mut candidates: Vec<Candidate>,
-    victims: &HashMap<WorkerKey, Vec<Victim>>,
-    need: &Resources,
-    count: usize,
-) -> Option<PreemptionPlan> {
-    let mut plan = PreemptionPlan::default();
-    for _ in 0..count {
-        let (index, more) = (0..candidates.len())
-            .filter(|index| candidates[*index].slots_left > 0)
-            .filter_map(|index| {
-                choose_victims(&candidates[index], victims, need, &plan.victims)
-                    .map(|more| (index, more))
-            })
-            .min_by_key(|(index, more)| {
-                let candidate = &candidates[*index];
-                (
-                    sum_weighed_loss(more),
-                    candidate.speed_rank,
-                    candidate.free.accelerators,
-                )
-            })?;
-        for victim in &more {
-            candidates[index].free += victim.resources;
-            plan.loss = plan.loss.saturating_add(victim.loss);
-            plan.weighed_loss = plan.weighed_loss.saturating_add(victim.weighed_loss);
-            plan.victims.push(victim.task);
-        }
-        candidates[index].place(need);
-        plan.places.push(candidates[index].worker);
-    }
-    Some(plan)
-}
-
-fn sum_weighed_loss(victims: &[Victim]) -> i64 {
-    victims.iter().fold(0, |sum: i64, victim| {
-        sum.saturating_add(victim.weighed_loss)
-    })
-}
-
-/// Returns the tasks to stop so that one more task fits on a candidate; none if it cannot fit.
-fn choose_victims(
-    candidate: &Candidate,
-    victims: &HashMap<WorkerKey, Vec<Victim>>,
-    need: &Resources,
-    taken: &[TaskKey],
-) -> Option<Vec<Victim>> {
-    let mut free = candidate.free;
-    let mut chosen = Vec::new();
-    let here = victims.get(&candidate.worker).into_iter().flatten();
-    for victim in here.filter(|victim| !taken.contains(&victim.task)) {
-        if need.fits(&free) {
-            break;
-        }
-        free += victim.resources;
-        chosen.push(*victim);
-    }
-    need.fits(&free).then_some(chosen)
-}
