Stop tasks of a limited step for a guarantee, as far as the limit allows

Cause: a step with may_miss was never preempted.

Change: its tasks are stopped for a guarantee as far as the count of tasks that are away allows, after work without a limit. A task that has not been at work for long is not protected by AVAIL, and can be stopped.

Why this works: maintenance and preemption use one count, which the platform's words define.

--- a/crates/scheduler/src/preempt.rs
+++ b/crates/scheduler/src/preempt.rs
@@ -361,9 +361,7 @@
         self.is_stoppable(key)
             && match stoppable {
                 Stoppable::LessUrgent => is_less_urgent && !self.is_limited(key.group),
-                Stoppable::NotCovered(coverage) => {
-                    (is_less_urgent || !coverage.covers(key)) && !self.is_limited(key.group)
-                }
+                Stoppable::NotCovered(coverage) => is_less_urgent || !coverage.covers(key),
             }
     }
 
--- a/crates/scheduler/tests/guarantees.rs
+++ b/crates/scheduler/tests/guarantees.rs
@@ -15,6 +15,7 @@
 #[case::lasts(lasting(64, 1, None))]
 #[case::single_tasks(long(64, 1))]
 #[case::gang(gang(8, 8))]
+#[case::may_be_away(lasting(64, 1, Some(64)))]
 fn guarantee_holds_against_urgent_work(#[case] holder: StepSpec) {
     let mut site = Site::new(8, &[("desk", 8)]);
     let count = holder.count as usize;
@@ -26,6 +27,57 @@
     assert_eq!(site.count_running(&urgent), 8);
 }
 
+/// Work whose step limits the unavailable tasks was never stopped, however many of them may be away.
+#[rstest]
+#[case::exactly_as_many(8, true)]
+#[case::too_few(7, false)]
+#[case::none(0, false)]
+fn guarantee_holds_against_limited_work_as_far_as_its_limit(
+    #[case] most_away: u32,
+    #[case] begins: bool,
+    #[values(0, 2)] priority: u32,
+) {
+    let mut site = Site::new(8, &[("desk", 8)]);
+    let large = site.submit("plant", priority, lasting(64, 1, Some(most_away)));
+    site.play(2_000);
+    let urgent = site.submit("desk", 0, long(8, 1));
+    site.play(RECLAIM_MS);
+    assert_eq!(site.count_running(&urgent), if begins { 8 } else { 0 });
+    assert_eq!(site.count_stopped(&large), if begins { 8 } else { 0 });
+}
+
+/// A task that was stopped counts as away until it is at work again, also for the next guarantee.
+#[test]
+fn limited_work_is_not_stopped_while_stopped_tasks_are_away() {
+    let mut site = Site::new(8, &[("desk", 8), ("lab", 8)]);
+    let large = site.submit("plant", 2, lasting(64, 1, Some(12)));
+    site.play(2_000);
+    let first = site.submit("desk", 0, long(8, 1));
+    site.play(RECLAIM_MS);
+    let second = site.submit("lab", 0, long(8, 1));
+    site.play(RECLAIM_MS);
+    assert_eq!(
+        (site.count_running(&first), site.count_running(&second)),
+        (8, 0)
+    );
+    assert_eq!(site.count_stopped(&large), 8);
+}
+
+/// Lasting work that does not work for its users is not missed.
+#[test]
+fn limited_work_that_is_not_at_work_is_stopped() {
+    let mut site = Site::new(8, &[("desk", 8)]);
+    site.percent = 10;
+    let large = site.submit("plant", 2, lasting(64, 1, Some(32)));
+    site.play(4_000);
+    let urgent = site.submit("desk", 0, long(8, 1));
+    site.play(RECLAIM_MS);
+    assert_eq!(
+        (site.count_running(&urgent), site.count_stopped(&large)),
+        (8, 8)
+    );
+}
+
 /// Work of lower priority is stopped before urgent work, however much more that discards.
 #[test]
 fn urgent_work_is_stopped_last() {
