Store a cancel of a job that the store does not have

Cause: a cancel that found neither the job nor its record left nothing in the store, so the condition of the late write still held. What one node remembers of a doubt is not known to the others.

Change: such a cancel writes a record, marked as not submitted, on the condition that neither job nor record exists, and only then answers 410. A submission that comes later is answered 200, cancelled, and shown so. The planner removes the record as those of ended jobs. DELETE of /v1/jobs takes the same path.

Why this works: the store orders the two writes, and each expects that the other has not been made.

--- a/crates/control/src/call.rs
+++ b/crates/control/src/call.rs
@@ -64,6 +64,16 @@
     pub rest: &'c str,
 }
 
+impl Admitted<'_> {
+    /// Returns whether the call may concern a job of an organisation; empty for a job of nobody known. To others, the job
+    /// does not exist. A public queue asks nobody who they are.
+    pub fn may_see(&self, organisation: &str) -> bool {
+        organisation.is_empty()
+            || organisation == self.organisation
+            || self.queue.is_some_and(|queue| queue.public)
+    }
+}
+
 /// Checks a call against a configuration; returns the refusal if it is not permitted.
 pub(crate) fn admit<'c>(
     configuration: &'c Configuration,
--- a/crates/control/src/intake.rs
+++ b/crates/control/src/intake.rs
@@ -4,15 +4,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use adapter::{CONFIGURATION_KEY, CallError, Precondition, Put, Txn, TxnOutcome, decode_job};
+use adapter::{CONFIGURATION_KEY, CallError, Item, Precondition, Put, Txn, TxnOutcome, decode_job};
 use scheduler::{JobId, JobRequest, JobState, StoredJob};
 use serde_json::Value;
 
 use crate::call::{Call, admit};
+use crate::cancels::build_submitted;
 use crate::clock::now_ms;
 use crate::configuration::apply_configuration;
 use crate::configuration_cache::ActiveConfiguration;
-use crate::job_calls::read_item;
+use crate::job_calls::{decode_record, read_item};
 use crate::keys;
 use crate::metrics::{Counter, Timing};
 use crate::node::Node;
@@ -84,16 +85,25 @@
         }
     }
     let mut failures = FailedAttempts::default();
+    // The record of a cancel that came before the submission.
+    let mut cancelled: Option<Item> = None;
     loop {
         let Some(active) = node.configuration.latest() else {
             let detail = "no configuration is known";
             return Reply::refused(Counter::RefusedNoConfiguration, detail);
         };
-        let txn = match build_txn(&active, call, id, request) {
+        let txn = match &cancelled {
+            None => build_txn(&active, call, id, request),
+            Some(item) => build_late_submission(node, &active, call, id, item),
+        };
+        let txn = match txn {
             Ok(txn) => txn,
             Err(reply) => return reply,
         };
         match commit_with_retries(node, call, &txn, &mut failures).await {
+            Ok(TxnOutcome::Done(_)) if cancelled.is_some() => {
+                return Reply::State(JobState::Cancelled);
+            }
             Ok(TxnOutcome::Done(revision)) => {
                 node.metrics.count(Counter::JobsAccepted);
                 let fields = [
@@ -109,13 +119,17 @@
                 return Reply::State(JobState::Pending);
             }
             Ok(TxnOutcome::Conflict(items)) => {
-                let (job, record) = (keys::job(id), keys::record(id));
-                if items
-                    .iter()
-                    .any(|item| item.key == job || item.key == record)
-                {
+                let find = |key: String| items.iter().find(|item| item.key == key);
+                if find(keys::job(id)).is_some() {
                     return answer_known(node);
                 }
+                cancelled = find(keys::record(id)).cloned();
+                if let Some(item) = &cancelled {
+                    match decode_record(node, id, item) {
+                        Ok(record) if record.unsubmitted => {}
+                        _ => return answer_known(node),
+                    }
+                }
                 let newer = items
                     .iter()
                     .find(|i| i.key == CONFIGURATION_KEY && i.revision > active.revision);
@@ -189,6 +203,25 @@
     })
 }
 
+/// Builds the write of a submission whose job was cancelled before. The job does not run, and is shown as cancelled.
+fn build_late_submission(
+    node: &Node,
+    active: &ActiveConfiguration,
+    call: &Call,
+    id: JobId,
+    item: &Item,
+) -> Result<Txn, Reply> {
+    let caller = admit(&active.configuration, call)?;
+    let record = decode_record(node, id, item)?;
+    match caller.may_see(&record.organisation) {
+        true => build_submitted(active, item, record),
+        false => {
+            let detail = "another organisation has cancelled a job with this id";
+            Err(Reply::refused(Counter::RefusedCancelledId, detail))
+        }
+    }
+}
+
 /// Failed store calls of a request, and whether one of them may still take effect.
 #[derive(Debug, Default)]
 pub(crate) struct FailedAttempts {
--- a/crates/control/src/job_calls.rs
+++ b/crates/control/src/job_calls.rs
@@ -1,20 +1,19 @@
-//! Answers calls about accepted jobs: their state, cancelling them, and how many are waiting.
+//! Answers calls about accepted jobs: their state, and how many are waiting.
 
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use adapter::{CONFIGURATION_KEY, Item, Precondition, Put, Txn, TxnOutcome};
+use adapter::Item;
 use scheduler::{JobId, JobRecord, JobState, StoredJob};
 use serde_json::Value;
 
-use crate::call::{Call, admit};
+use crate::call::{Admitted, Call};
 use crate::clock::now_ms;
-use crate::configuration::apply_configuration;
-use crate::intake::{FailedAttempts, RETRY_PAUSE_MS, commit_with_retries, retry_limits};
+use crate::intake::{RETRY_PAUSE_MS, retry_limits};
 use crate::keys;
 use crate::metrics::Counter;
-use crate::node::Node;
+use crate::node::{FinalState, Node};
 use crate::reply::Reply;
 
 /// Maximum age of the counts of waiting jobs; the platform allows 2 s.
@@ -57,7 +56,7 @@
 }
 
 /// Decodes a job's record; a refusal if it cannot be read.
-fn decode_record(node: &Node, id: JobId, item: &Item) -> Result<JobRecord, Reply> {
+pub(crate) fn decode_record(node: &Node, id: JobId, item: &Item) -> Result<JobRecord, Reply> {
     let record: JobRecord = serde_json::from_slice(&item.value).map_err(|e| {
         let fields = [
             ("key", Value::from(item.key.as_str())),
@@ -67,35 +66,47 @@
             .request("intake", "record unreadable", &id.to_string(), &fields);
         Reply::refused(Counter::RefusedStore, "the job's record cannot be read")
     })?;
-    if record.state.is_final() {
-        node.cache_final_state(id, record.state);
+    if record.state.is_final() && !record.unsubmitted {
+        let state = FinalState {
+            state: record.state,
+            organisation: record.organisation.as_str().into(),
+        };
+        node.cache_final_state(id, state);
     }
     Ok(record)
 }
 
 /// Answers with a job's state.
-pub(crate) async fn read_state(node: &Arc<Node>, call: &Call, id: JobId) -> Reply {
-    find_state(node, call, id).await.map_or_else(
-        |reply| reply,
-        |state| state.map_or(Reply::Gone, Reply::State),
-    )
-}
-
-/// Returns a job's state; none if there is no such job.
-async fn find_state(node: &Node, call: &Call, id: JobId) -> Result<Option<JobState>, Reply> {
-    if let Some(state) = node.cached_final_state(id) {
-        return Ok(Some(state));
+pub(crate) async fn read_state(
+    node: &Node,
+    call: &Call,
+    caller: &Admitted<'_>,
+    id: JobId,
+) -> Reply {
+    if let Some(known) = node.cached_final_state(id)
+        && caller.may_see(&known.organisation)
+    {
+        return Reply::State(known.state);
+    }
+    match find_record(node, call, caller, id).await {
+        Ok(record) => record.map_or(Reply::Gone, |record| Reply::State(record.state)),
+        Err(reply) => reply,
     }
-    let record = find_record(node, call, id).await?;
-    Ok(record.map(|record| record.state))
 }
 
-/// Returns a job's record; none if there is no such job.
+/// Returns the record of a job that the caller may see; none if there is no such job.
 pub(crate) async fn find_record(
     node: &Node,
     call: &Call,
+    caller: &Admitted<'_>,
     id: JobId,
 ) -> Result<Option<JobRecord>, Reply> {
+    let record = read_record(node, call, id).await?;
+    Ok(record.filter(|record| !record.unsubmitted && caller.may_see(&record.organisation)))
+}
+
+/// Returns a job's record; none if the store has none.
+async fn read_record(node: &Node, call: &Call, id: JobId) -> Result<Option<JobRecord>, Reply> {
     let record = keys::record(id);
     if let Some(item) = read_item(node, call, &record).await? {
         return decode_record(node, id, &item).map(Some);
@@ -120,73 +131,12 @@
             .map_or_else(String::new, |job| job.queue.clone()),
         organisation: stored.map_or_else(String::new, |job| job.organisation),
         begun: false,
+        unsubmitted: false,
         ended_unix_ms: 0,
         groups: Vec::new(),
     }
 }
 
-/// Cancels a job.
-pub(crate) async fn cancel_job(node: &Arc<Node>, call: &Call, id: JobId) -> Reply {
-    match try_cancel(node, call, id).await {
-        Ok(reply) | Err(reply) => reply,
-    }
-}
-
-async fn try_cancel(node: &Node, call: &Call, id: JobId) -> Result<Reply, Reply> {
-    if let Some(state) = node.cached_final_state(id) {
-        return Ok(Reply::State(state));
-    }
-    let mut failures = FailedAttempts::default();
-    loop {
-        let Some(active) = node.configuration.latest() else {
-            return Err(failures.final_reply("no configuration is known"));
-        };
-        admit(&active.configuration, call)?;
-        let Some(job) = read_item(node, call, &keys::job(id)).await? else {
-            let state = find_state(node, call, id).await?;
-            return Ok(state.map_or(Reply::Gone, Reply::State));
-        };
-        let txn = Txn {
-            conditions: vec![
-                Precondition {
-                    key: CONFIGURATION_KEY.to_string(),
-                    revision: active.revision,
-                },
-                Precondition {
-                    key: job.key.clone(),
-                    revision: job.revision,
-                },
-            ],
-            puts: vec![Put {
-                key: keys::cancel(id),
-                value: Vec::new(),
-                lease: None,
-            }],
-            removals: Vec::new(),
-        };
-        match commit_with_retries(node, call, &txn, &mut failures).await? {
-            TxnOutcome::Done(revision) => {
-                let fields = [("revision", Value::from(revision))];
-                node.log
-                    .request("intake", "cancelled", &id.to_string(), &fields);
-                return Ok(Reply::State(JobState::Cancelled));
-            }
-            TxnOutcome::Conflict(items) => {
-                let newer = items
-                    .iter()
-                    .find(|i| i.key == CONFIGURATION_KEY && i.revision > active.revision);
-                if let Some(item) = newer {
-                    apply_configuration(node, &item.value, item.revision, call.arrived_ms);
-                }
-            }
-            TxnOutcome::NoLease => {}
-        }
-        if now_ms() >= call.answer_by_ms {
-            return Err(failures.final_reply("the job kept changing"));
-        }
-    }
-}
-
 /// Answers with the number of jobs of a queue that have not begun.
 pub(crate) async fn count_waiting(node: &Arc<Node>, queue: &str, call: &Call) -> Reply {
     if let Some(count) = cached_count(
--- a/crates/control/src/jobs_api.rs
+++ b/crates/control/src/jobs_api.rs
@@ -15,9 +15,10 @@
 
 use crate::body::collect_body;
 use crate::call::{Call, Target, admit};
+use crate::cancels::cancel_job;
 use crate::clock::now_ms;
 use crate::intake::accept_request;
-use crate::job_calls::{cancel_job, find_record};
+use crate::job_calls::find_record;
 use crate::metrics::Counter;
 use crate::node::Node;
 use crate::reply::Reply;
@@ -248,18 +249,20 @@
         let detail = "the configuration was not confirmed lately";
         return Err(Reply::refused(Counter::RefusedNoConfiguration, detail));
     };
-    let caller = admit(&active.configuration, call)?.organisation;
-    if !matches!(*method, Method::GET | Method::DELETE) {
-        let detail = "GET, POST or DELETE";
-        return Err(Reply::refused(Counter::RefusedMethod, detail));
-    }
-    let record = find_record(node, call, id).await?;
-    let record = record.filter(|record| record.organisation == caller);
-    match (method, record) {
-        (_, None) => Ok(None),
-        (&Method::GET, record) => Ok(record),
-        (&Method::DELETE, Some(record)) => match cancel_job(node, call, id).await {
-            Reply::State(state) => Ok(Some(JobRecord { state, ..record })),
+    let caller = admit(&active.configuration, call)?;
+    let record = find_record(node, call, &caller, id).await?;
+    match *method {
+        Method::GET => Ok(record),
+        // A submission of a job that is not there yet may be under way.
+        Method::DELETE => match cancel_job(node, call, id).await {
+            Reply::State(state) => {
+                let record = match record {
+                    Some(record) => Some(record),
+                    None => find_record(node, call, &caller, id).await?,
+                };
+                Ok(record.map(|record| JobRecord { state, ..record }))
+            }
+            Reply::Gone => Ok(None),
             other => Err(other),
         },
         _ => Err(Reply::refused(
--- a/crates/control/src/keys.rs
+++ b/crates/control/src/keys.rs
@@ -5,14 +5,14 @@
 //! | `lead/planner` | the leader's node name and a nonce | a node that takes the lead, under a lease | with the lease |
 //! | `chain` | the term and number of the planner's last write | the planner, with each write | never |
 //! | `q/j/ID` | the accepted job | the node that accepts it | by the planner, once the job has ended |
-//! | `q/c/ID` | empty; present if its caller cancelled the job | the node that receives the cancel | with `q/j/ID` |
+//! | `q/c/ID` | empty; present if its caller cancelled the job | the node that receives the cancel | with `q/j/ID`, or with `r/ID` if the job was never accepted |
 //! | `q/e/TERM-N` | runs that workers had listed as done to the planner of a term that has ended | that planner's node | by the next planner, with the records that hold them |
 //! | `n/ID` | the job's queue, while nothing of it has begun | the node that accepts it, and the planner if a start may not be carried out | by the planner |
 //! | `peers/NODE` | where the node takes calls of its peers, and its processor | each node, under a lease | with the lease |
 //! | `waves/N` | the progress of each machine in a wave of maintenance | the planner, before it empties a machine and after it went down | never |
 //! | `policy/shares` | what the order of turns rests on | the planner, along with starts | never |
 //! | `policy/learned` | what was learned about work and machines | the planner, every 5 s along with a write | never |
-//! | `r/ID` | the job's record: its state and groups | the planner | some time after the job's end |
+//! | `r/ID` | the job's record: its state and groups | the planner; the node that receives a cancel of a job that the store does not have | some time after the job's end |
 //! | `r/ID.N` | a part of the record of a job with many tasks, N from 1 | the planner | after the job's end |
 
 use scheduler::{HandOverName, JobId};
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,6 +7,7 @@
 mod body;
 mod byte_budget;
 mod call;
+mod cancels;
 mod charged_stream;
 mod clock;
 mod configuration;
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -150,6 +150,12 @@
     WastedLostCoreS,
     /// Refused: the bytes that the process may collect at once are used up.
     RefusedFull,
+    /// Cancels of jobs that the store did not have, stored so that a late submission has no effect.
+    CancelsUnknown,
+    /// Refused: too many cancels of jobs that the store does not have.
+    RefusedCancelsUnknown,
+    /// Refused: another organisation has cancelled a job with the same id before its submission.
+    RefusedCancelledId,
     /// Refused: the body took too long.
     RefusedSlow,
     /// Connections closed because a head took too long.
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -15,6 +15,7 @@
 
 use crate::byte_budget::ByteBudget;
 use crate::call::Call;
+use crate::cancels::UnknownJobs;
 use crate::clock::now_ms;
 use crate::configuration_cache::ConfigurationCache;
 use crate::job_calls::WaitingCounts;
@@ -84,7 +85,16 @@
     pub doubts: Mutex<Doubts>,
     /// When callers that this node refuses in an outage come back.
     pub returns: Mutex<Returns>,
-    final_states: Mutex<HashMap<JobId, JobState>>,
+    /// Cancels of jobs that the store does not have.
+    pub unknown_jobs: Mutex<UnknownJobs>,
+    final_states: Mutex<HashMap<JobId, FinalState>>,
+}
+
+/// The final state of a job, and whose job it is.
+#[derive(Debug, Clone)]
+pub(crate) struct FinalState {
+    pub state: JobState,
+    pub organisation: Box<str>,
 }
 
 impl Node {
@@ -115,6 +125,7 @@
             waiting_counts: Mutex::new(WaitingCounts::default()),
             doubts: Mutex::new(Doubts::default()),
             returns: Mutex::new(Returns::default()),
+            unknown_jobs: Mutex::new(UnknownJobs::default()),
             final_states: Mutex::new(HashMap::new()),
             answering: Semaphore::new(settings.limits.max_answering()),
             byte_budget: ByteBudget::new(settings.limits.collected_bytes()),
@@ -161,7 +172,7 @@
     }
 
     /// Caches a job's final state; the cache is cleared when it is full.
-    pub fn cache_final_state(&self, id: JobId, state: JobState) {
+    pub fn cache_final_state(&self, id: JobId, state: FinalState) {
         if let Ok(mut states) = self.final_states.lock() {
             if states.len() >= MAX_FINAL_STATES {
                 states.clear();
@@ -171,8 +182,8 @@
     }
 
     /// Returns a job's final state, if it is cached.
-    pub fn cached_final_state(&self, id: JobId) -> Option<JobState> {
-        self.final_states.lock().ok()?.get(&id).copied()
+    pub fn cached_final_state(&self, id: JobId) -> Option<FinalState> {
+        self.final_states.lock().ok()?.get(&id).cloned()
     }
 
     /// Returns whether this node holds the lead, as far as it knows.
--- a/crates/control/src/record_writer.rs
+++ b/crates/control/src/record_writer.rs
@@ -52,6 +52,8 @@
     not_waiting: HashSet<JobId>,
     /// Ended jobs with the time of their end, oldest first.
     ended_jobs: VecDeque<(JobId, u64)>,
+    /// Those of them that were cancelled before their submission.
+    unsubmitted: HashSet<JobId>,
     /// The parts of records that the store has.
     parts: StoredParts,
 }
@@ -100,6 +102,7 @@
             write_number: 0,
             not_waiting: HashSet::new(),
             ended_jobs: VecDeque::new(),
+            unsubmitted: HashSet::new(),
             parts,
         }
     }
@@ -128,6 +131,12 @@
             }
             txn.removals.push(keys::hand_over(*name));
         }
+        for job in &flush.unsubmitted {
+            // A read of all requests names it again.
+            if self.unsubmitted.insert(*job) {
+                self.ended_jobs.push_back((*job, unix_ms()));
+            }
+        }
         let keep_ms = term.node.settings.bounds.keep_ended_s * 1000 + KEEP_MARGIN_MS;
         let due = |ended: &VecDeque<(JobId, u64)>| {
             ended
@@ -143,7 +152,10 @@
                 for entries in self.remove_parts(id) {
                     txn = self.add_entries(term, txn, entries).await?;
                 }
-                let entries = Entries::removal(keys::record(id));
+                self.unsubmitted.remove(&id);
+                let mut entries = Entries::removal(keys::record(id));
+                // That of a job which was never accepted is still there.
+                entries.removals.push(keys::cancel(id));
                 txn = self.add_entries(term, txn, entries).await?;
                 removed += 1;
             }
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -10,10 +10,11 @@
 use serde_json::Value;
 
 use crate::body::{CollectedBody, collect_body, has_body};
-use crate::call::{Admitted, Call, Target, admit};
+use crate::call::{Call, Target, admit};
+use crate::cancels::cancel_job;
 use crate::clock::now_ms;
 use crate::intake::accept_job;
-use crate::job_calls::{cancel_job, count_waiting, read_state};
+use crate::job_calls::{count_waiting, read_state};
 use crate::metrics::{Counter, Timing};
 use crate::node::Node;
 use crate::peers::pass_on;
@@ -256,23 +257,23 @@
             "the configuration was not confirmed lately",
         );
     };
-    let Admitted { queue, rest, .. } = match admit(&active.configuration, call) {
+    let caller = match admit(&active.configuration, call) {
         Ok(admitted) => admitted,
         Err(reply) => return reply,
     };
-    if let Some(queue) = queue
-        && rest.is_empty()
+    if let Some(queue) = caller.queue
+        && caller.rest.is_empty()
         && method == Method::GET
     {
         return count_waiting(node, &queue.name, call).await;
     }
-    let Ok(id) = rest.parse::<JobId>() else {
+    let Ok(id) = caller.rest.parse::<JobId>() else {
         let detail = "a job's id is 16 lower-case hexadecimal digits";
         return Reply::refused(Counter::RefusedMalformed, detail);
     };
     match *method {
         Method::POST => accept_job(node, call, id, body).await,
-        Method::GET => read_state(node, call, id).await,
+        Method::GET => read_state(node, call, &caller, id).await,
         Method::DELETE => cancel_job(node, call, id).await,
         _ => Reply::refused(Counter::RefusedMethod, "GET, POST or DELETE"),
     }
--- a/crates/control/src/takeover.rs
+++ b/crates/control/src/takeover.rs
@@ -117,7 +117,8 @@
     for item in hand_overs {
         take_in_hand_over(planner, node, item);
     }
-    for id in cancels {
+    // The others were cancelled before their submission, and have a record.
+    for id in cancels.into_iter().filter(|id| stored_jobs.contains(id)) {
         planner.cancel_job(id, now_ms());
     }
     records
--- a/crates/scheduler/src/events.rs
+++ b/crates/scheduler/src/events.rs
@@ -38,10 +38,15 @@
         self.by_job.contains_key(&id) || self.was_removed(id, now_ms)
     }
 
-    /// Cancels a job on request of its caller.
+    /// Cancels a job on request of its caller. One that is not known was cancelled before its submission was stored.
     pub fn cancel_job(&mut self, id: JobId, now_ms: u64) {
-        if let Some(&key) = self.by_job.get(&id) {
-            self.end_job(key, JobState::Cancelled, now_ms);
+        match self.by_job.get(&id).copied() {
+            Some(key) => self.end_job(key, JobState::Cancelled, now_ms),
+            None if !self.was_removed(id, now_ms) => {
+                self.unsubmitted.push(id);
+                self.changed = true;
+            }
+            None => {}
         }
     }
 
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -273,6 +273,7 @@
             queue: self.stored.queue.clone(),
             organisation: self.stored.organisation.clone(),
             begun: self.has_begun(),
+            unsubmitted: false,
             ended_unix_ms: self.ended_unix_ms,
             groups,
         };
--- a/crates/scheduler/src/orders.rs
+++ b/crates/scheduler/src/orders.rs
@@ -162,6 +162,8 @@
     pub(crate) staying: Vec<WorkerKey>,
     /// What earlier planners have handed over and these records hold; it can be removed with them.
     pub taken_in: Vec<HandOverName>,
+    /// Jobs that were cancelled before their submission; what the store has of them is to be removed some time later.
+    pub unsubmitted: Vec<JobId>,
 }
 
 /// The ended runs of one incarnation of a worker, up to a number.
@@ -179,5 +181,6 @@
             && self.starts.is_empty()
             && self.ends.is_empty()
             && self.taken_in.is_empty()
+            && self.unsubmitted.is_empty()
     }
 }
--- a/crates/scheduler/src/planner.rs
+++ b/crates/scheduler/src/planner.rs
@@ -98,6 +98,8 @@
     pub(crate) unstored_done: Vec<UnstoredDone>,
     /// What earlier planners have handed over and the next flush stores.
     pub(crate) taken_in: Vec<HandOverName>,
+    /// Jobs that were cancelled before their submission, since the last flush.
+    pub(crate) unsubmitted: Vec<JobId>,
     /// The state of the decisions under load.
     pub(crate) policy: Policy,
     /// How far the time of day is ahead of the planner's clock, as of the last planning pass.
@@ -140,6 +142,7 @@
             idle_checked_ms: now_ms,
             unstored_done: Vec::new(),
             taken_in: Vec::new(),
+            unsubmitted: Vec::new(),
             policy: Policy::default(),
             unix_ahead_ms: 0,
         }
@@ -274,6 +277,7 @@
             ends,
             staying,
             taken_in: std::mem::take(&mut self.taken_in),
+            unsubmitted: std::mem::take(&mut self.unsubmitted),
         }
     }
 
--- a/crates/scheduler/src/record.rs
+++ b/crates/scheduler/src/record.rs
@@ -49,6 +49,9 @@
     /// Whether it counts as begun; false while it is uncertain that anything of it has started.
     #[serde(default = "has_begun", skip_serializing_if = "is_true")]
     pub begun: bool,
+    /// Whether the job was cancelled before any submission of it was stored, so that callers are shown no such job.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub unsubmitted: bool,
     /// When the job ended, in Unix milliseconds; 0 before that.
     #[serde(default)]
     pub ended_unix_ms: u64,
--- a/crates/scheduler/src/record_parts.rs
+++ b/crates/scheduler/src/record_parts.rs
@@ -91,6 +91,7 @@
         queue: stored.queue.clone(),
         organisation: stored.organisation.clone(),
         begun: true,
+        unsubmitted: false,
         ended_unix_ms: 0,
         groups: Vec::new(),
     });
--- a/crates/scheduler/tests/idle_beside_quarantine.rs
+++ b/crates/scheduler/tests/idle_beside_quarantine.rs
@@ -147,6 +147,7 @@
         queue: stored.queue.clone(),
         organisation: stored.organisation.clone(),
         begun: true,
+        unsubmitted: false,
         ended_unix_ms: 0,
         groups: vec![GroupRecord {
             first: 0,
--- a/crates/scheduler/tests/requests.rs
+++ b/crates/scheduler/tests/requests.rs
@@ -7,7 +7,7 @@
 use rstest::rstest;
 use scheduler::prelude::*;
 use scheduler::{SpecError, Timing};
-use support::{job, step};
+use support::{Harness, job, step};
 
 /// Needs that no deployment has, with a reason to refuse each.
 fn with_need(cpu_millis: i64, memory_mb: i64, accelerators: i64) -> StepSpec {
@@ -25,6 +25,23 @@
     JobRequest::check("text".to_string(), steps, Timing::default())
 }
 
+/// The store keeps a cancel of a job that was never accepted until a flush names it.
+#[test]
+fn cancel_of_unknown_job_is_handed_to_flush() {
+    let mut harness = Harness::with_workers(1);
+    let (known, unknown) = (job(1, 1, vec![step(1, 1)]), job(2, 1, vec![step(1, 1)]));
+    harness.planner.add_job(known.clone(), 1, harness.now_ms);
+    harness.planner.cancel_job(known.id, harness.now_ms);
+    harness.planner.cancel_job(unknown.id, harness.now_ms);
+    let (_, flush) = harness.plan_without_store();
+    assert_eq!(flush.unsubmitted, vec![unknown.id]);
+    harness.planner.complete_flush(flush, harness.now_ms);
+    // Its removal may be reported after the job was removed.
+    harness.planner.cancel_job(known.id, harness.now_ms);
+    let (_, flush) = harness.plan_without_store();
+    assert!(flush.is_empty());
+}
+
 #[rstest]
 #[case::cpu_negative(with_need(-1, 1, 1))]
 #[case::memory_negative(with_need(1, -1, 1))]
