Play guarantees, limits and cancels in doubt in the soak

Change: in some plays an organisation without a guarantee takes all accelerators, with urgent work that ends or lasts, gangs, or tasks of which some may be away, and guaranteed jobs come meanwhile; in some the store carries submissions out late that their callers cancel. Checks of RECLAIM, AVAIL and UNASKED by what workers and callers saw; a cancel that is answered 410 counts as acknowledged now.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -112,6 +112,30 @@
     assert_kept(seed, &options).await;
 }
 
+/// Guards against RECLAIM: a guaranteed job does not begin while other work holds all accelerators, urgent work that ends or
+/// lasts, gangs, or work of which some may be away.
+#[rstest]
+#[case::first(3)]
+#[case::second(11)]
+#[tokio::test(flavor = "multi_thread")]
+async fn soak_reclaims_guarantee(#[case] seed: u64) {
+    let options = PlayOptions {
+        faults_ms: 8_000,
+        ..options(&[FaultKind::CapacityTaken])
+    };
+    assert_kept(seed, &options).await;
+}
+
+/// Guards against UNASKED: a job runs whose cancel was acknowledged, as the store carried its submission out later.
+#[tokio::test(flavor = "multi_thread")]
+async fn soak_runs_no_job_after_cancel_in_doubt() {
+    let options = PlayOptions {
+        faults_ms: 8_000,
+        ..options(&[FaultKind::StoreFallsSilent])
+    };
+    assert_kept(2, &options).await;
+}
+
 async fn assert_holds(seed: u64, kinds: &[FaultKind]) {
     assert_kept(seed, &options(kinds)).await;
 }
--- a/crates/soak/src/advice.rs
+++ b/crates/soak/src/advice.rs
@@ -117,6 +117,8 @@
             .random_bool(0.1)
             .then(|| random.random_range(0..3_000)),
         repeat_after_ms: None,
+        cancels_in_doubt: false,
+        claim: None,
     }
 }
 
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -4,10 +4,11 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use platform_standin::{Caller, Reply, declared_queues, steady_ms};
+use platform_standin::{Caller, OTHER_ORGANISATION_KEY, Reply, declared_queues, steady_ms};
 use tokio::sync::watch;
 use tokio::time::sleep;
 
+use crate::claims::Claim;
 use crate::plan::{JobCall, PlannedJob};
 use crate::site::{KEY, NODES, Site, lock};
 
@@ -17,6 +18,9 @@
 /// Time between two questions for a job's state.
 const ASK_GAP: Duration = Duration::from_millis(400);
 
+/// How often a caller asks for a job that it has cancelled; longer than late changes take, and contact after that.
+const LOOKS_AFTER_CANCEL: u32 = 40;
+
 /// The key that is withdrawn by the operator.
 pub(crate) const WITHDRAWN_KEY: &str = "other-key";
 
@@ -25,6 +29,7 @@
     prefix: "",
     id: "",
     steps: &[],
+    claim: None,
 };
 
 /// What a call asked for.
@@ -73,6 +78,8 @@
 pub(crate) struct Callers {
     caller: Caller,
     withdrawn: Caller,
+    /// Of the organisation without a guarantee.
+    other: Caller,
     calls: Mutex<Vec<CallRecord>>,
 }
 
@@ -81,6 +88,7 @@
         Ok(Callers {
             caller: Caller::new(KEY)?,
             withdrawn: Caller::new(WITHDRAWN_KEY)?,
+            other: Caller::new(OTHER_ORGANISATION_KEY)?,
             calls: Mutex::default(),
         })
     }
@@ -90,14 +98,35 @@
     }
 
     async fn call(&self, site: &Site, node: usize, job: JobCall<'_>, asked: Asked) -> Reply {
-        let JobCall { prefix, id, steps } = job;
+        let JobCall {
+            prefix,
+            id,
+            steps,
+            claim,
+        } = job;
+        let caller = match claim {
+            Some(Claim::Holder { .. }) => &self.other,
+            Some(Claim::Guaranteed) | None => &self.caller,
+        };
         let (sent_ms, at) = (steady_ms(), node % NODES);
         let address = site.nodes[at].callers;
         let incarnation = site.nodes[at].incarnation.load(Ordering::SeqCst);
         let reply = match asked {
-            Asked::Submit => self.caller.submit(address, prefix, id, steps).await,
-            Asked::State => self.caller.state(address, prefix, id).await,
-            Asked::Cancel => self.caller.cancel(address, prefix, id).await,
+            Asked::Submit => match claim {
+                Some(Claim::Holder {
+                    lasting: true,
+                    most_away,
+                    ..
+                }) => {
+                    let count = steps.first().map_or(0, |step| step.count);
+                    caller
+                        .submit_lasting(address, prefix, id, count, most_away)
+                        .await
+                }
+                _ => caller.submit(address, prefix, id, steps).await,
+            },
+            Asked::State => caller.state(address, prefix, id).await,
+            Asked::Cancel => caller.cancel(address, prefix, id).await,
             Asked::Mark(version) => self.caller.count(address, &format!("/v-{version}/")).await,
             Asked::WithdrawnKey => self.withdrawn.count(address, "/q/").await,
         };
@@ -153,6 +182,23 @@
         false
     }
 
+    /// Cancels a job that was not accepted until that is acknowledged, and then looks at it for some time.
+    async fn give_up(&self, site: &Site, job: &PlannedJob, over: watch::Receiver<bool>) {
+        let (mut node, mut looks) = (job.node, 0);
+        let mut is_acknowledged = false;
+        while !*over.borrow() && looks < LOOKS_AFTER_CANCEL {
+            node += 1;
+            if is_acknowledged {
+                looks += 1;
+                self.call(site, node, job.call(), Asked::State).await;
+            } else {
+                let reply = self.call(site, node, job.call(), Asked::Cancel).await;
+                is_acknowledged = matches!(reply, Reply::Accepted(_) | Reply::Unknown);
+            }
+            sleep(ASK_GAP).await;
+        }
+    }
+
     /// Sees a job through: until its end is shown, or `over` says that it is late.
     pub(crate) async fn see_through(
         self: Arc<Callers>,
@@ -161,6 +207,9 @@
         over: watch::Receiver<bool>,
     ) {
         if !self.submit(&site, &job).await {
+            if job.cancels_in_doubt {
+                self.give_up(&site, &job, over).await;
+            }
             return;
         }
         let accepted_ms = steady_ms();
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -5,6 +5,7 @@
 use platform_standin::{AdvicePolicy, Note, Reply, StepSpec, WorkerEvent};
 
 use crate::callers::{Asked, CallRecord, Confirmed};
+use crate::claims::Claim;
 use crate::site::Incident;
 
 /// Two runs of a task at the same time count from this time on.
@@ -42,6 +43,8 @@
     pub calls: Vec<CallRecord>,
     /// The steps of each job that callers have; each step comes after the one before it.
     pub steps: BTreeMap<String, Vec<StepSpec>>,
+    /// What jobs are for in a play about guarantees.
+    pub claims: BTreeMap<String, Claim>,
     /// The policies of the jobs whose queue has one.
     pub advised: BTreeMap<String, AdvicePolicy>,
     /// The versions of the configuration.
@@ -83,7 +86,7 @@
         self.has_ended("failed")
     }
 
-    fn has_ended(&self, how: &str) -> bool {
+    pub(crate) fn has_ended(&self, how: &str) -> bool {
         self.end.as_ref().is_some_and(|(_, known)| known == how)
     }
 }
@@ -172,7 +175,7 @@
 
 impl Observed {
     /// Returns whether no fault was on from `from_ms`, less the time after which contact counts again, to `until_ms`.
-    fn is_calm(&self, from_ms: u64, until_ms: u64) -> bool {
+    pub(crate) fn is_calm(&self, from_ms: u64, until_ms: u64) -> bool {
         let from_ms = from_ms.saturating_sub(CONTACT_MS);
         !self
             .incidents
@@ -196,6 +199,7 @@
         self.check_leaving(&runs, &mut broken);
         self.check_gangs(&runs, &mut broken);
         self.check_attempts(&runs, &mut broken);
+        self.check_claims(&runs, &mut broken);
         self.check_configuration(&mut broken);
         broken.extend(self.own_ends.iter().map(|line| Broken {
             promise: "no process ends by itself",
@@ -310,7 +314,8 @@
                 self.check_kept(job, &calls, accepted_ms, runs, &mut add);
             }
             let acknowledged = calls.iter().find(|call| {
-                call.asked == Asked::Cancel && matches!(call.reply, Reply::Accepted(_))
+                call.asked == Asked::Cancel
+                    && matches!(call.reply, Reply::Accepted(_) | Reply::Unknown)
             });
             if let Some(call) = acknowledged {
                 let late = own_runs().find(|(_, run)| {
@@ -322,6 +327,16 @@
                     let detail = format!("{task} started on {} after the cancel", run.worker);
                     add("a cancelled job starts nothing", detail);
                 }
+                let shown = calls.iter().find(|later| {
+                    later.asked == Asked::State
+                        && later.sent_ms > call.answered_ms + CANCEL_MS
+                        && matches!(&later.reply, Reply::Accepted(state) if state == "pending" || state == "running")
+                        && self.is_calm(later.sent_ms, later.answered_ms)
+                });
+                if let Some(later) = shown {
+                    let detail = format!("node {} shows {:?}", later.node + 1, later.reply);
+                    add("a cancelled job is shown as over", detail);
+                }
             }
         }
     }
--- a/crates/soak/src/failures.rs
+++ b/crates/soak/src/failures.rs
@@ -81,5 +81,7 @@
         attempts: MOST_ATTEMPTS,
         cancel_after_ms: None,
         repeat_after_ms: None,
+        cancels_in_doubt: false,
+        claim: None,
     }
 }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -12,6 +12,7 @@
 use crate::advice::advice_fault;
 use crate::callers::Operator;
 use crate::check::open_runs;
+use crate::doubts::{FALLING_SILENT_MS, LATE_MS};
 use crate::link::LinkState;
 use crate::plan::{Fault, FaultKind};
 use crate::site::{Incident, Place, Seat, Site, lock};
@@ -45,6 +46,12 @@
         | FaultKind::StoreLosesAnswers
         | FaultKind::StoreLate
         | FaultKind::StoreSilent => harm_store(&site, &fault).await,
+        FaultKind::StoreFallsSilent => Ok(let_store_fall_silent(&site, &fault).await),
+        FaultKind::CapacityTaken => {
+            // This is traffic, and no fault.
+            note_begin(&site, &fault, "all accelerators");
+            return sleep(Duration::from_millis(fault.for_ms)).await;
+        }
         FaultKind::AdviceSilent | FaultKind::AdviceSlow | FaultKind::AdviceBusy => {
             note_begin(&site, &fault, "the advice service");
             let lasts = Duration::from_millis(fault.for_ms);
@@ -413,3 +420,17 @@
         .await;
     Ok("the store".to_string())
 }
+
+/// Lets the store carry out late what arrives for a moment, and answer nothing for a time. Returns once all late changes
+/// have been made.
+async fn let_store_fall_silent(site: &Site, fault: &Fault) -> String {
+    note_begin(site, fault, "the store");
+    let late_ms = LATE_MS + fault.stage_ms;
+    let over_ms = steady_ms() + FALLING_SILENT_MS + late_ms;
+    let falling = Duration::from_millis(FALLING_SILENT_MS);
+    site.harm_store("late_changes", late_ms, falling).await;
+    let lasts = Duration::from_millis(fault.for_ms);
+    site.harm_store("unresponsive", 0, lasts).await;
+    sleep(Duration::from_millis(over_ms.saturating_sub(steady_ms()))).await;
+    "the store".to_string()
+}
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -6,6 +6,8 @@
 mod attempts;
 mod callers;
 mod check;
+mod claims;
+mod doubts;
 mod failures;
 mod faults;
 mod idle;
@@ -19,6 +21,7 @@
 
 pub use callers::{Asked, CallRecord, Confirmed};
 pub use check::{Broken, Observed};
+pub use claims::Claim;
 pub use link::{Link, LinkState};
 pub use plan::{Fault, FaultKind, Plan, PlannedJob};
 pub use play::{Outcome, PlayError, PlayOptions, play};
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -1,12 +1,14 @@
 //! What a play does, drawn from one seed: faults with their times, and jobs with their callers' habits.
 
-use platform_standin::{ADVISED_PREFIX, AdvicePolicy, StepSpec};
+use platform_standin::{ADVISED_PREFIX, AdvicePolicy, StepSpec, URGENT_PREFIX};
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 use strum::{Display, EnumIter, EnumString, IntoEnumIterator};
 
 use crate::advice::draw_advised_queue;
+use crate::claims::{Claim, draw_claims};
+use crate::doubts::draw_doubts;
 use crate::failures::draw_failures;
 use crate::outages::draw_outages;
 
@@ -34,6 +36,12 @@
 /// The same for a queue with an advice policy.
 const ADVISED_SEQUENCE: u64 = 3;
 
+/// The same for work that holds what a guarantee covers.
+const CLAIMS_SEQUENCE: u64 = 4;
+
+/// The same for submissions that a store carries out late.
+const DOUBTS_SEQUENCE: u64 = 5;
+
 /// Probability that a burst goes on after a job.
 const BURST_GOES_ON: f64 = 0.75;
 
@@ -109,6 +117,10 @@
     WorkerLostForGood,
     /// Several workers fail what they start.
     WorkersFail,
+    /// The store falls silent, and carries out late what had just arrived.
+    StoreFallsSilent,
+    /// Work of one organisation takes all accelerators, also those that another is guaranteed.
+    CapacityTaken,
     /// The advice service answers no query.
     AdviceSilent,
     /// The advice service is slower than its figures say.
@@ -128,6 +140,8 @@
         matches!(
             self,
             FaultKind::WorkersFail
+                | FaultKind::StoreFallsSilent
+                | FaultKind::CapacityTaken
                 | FaultKind::AdviceSilent
                 | FaultKind::AdviceSlow
                 | FaultKind::AdviceBusy
@@ -185,18 +199,24 @@
     pub cancel_after_ms: Option<u64>,
     /// How long after its acceptance it is handed in again.
     pub repeat_after_ms: Option<u64>,
+    /// Whether its caller cancels it if it is not accepted, and goes on until that is acknowledged.
+    pub cancels_in_doubt: bool,
+    /// What it is for in a play about guarantees.
+    pub claim: Option<Claim>,
 }
 
 impl PlannedJob {
     /// Returns what a call about it names.
     pub(crate) fn call(&self) -> JobCall<'_> {
         JobCall {
-            prefix: match self.is_advised {
-                true => ADVISED_PREFIX,
-                false => "/q/",
+            prefix: match (self.is_advised, self.claim) {
+                (true, _) => ADVISED_PREFIX,
+                (_, Some(Claim::Guaranteed | Claim::Holder { urgent: true, .. })) => URGENT_PREFIX,
+                _ => "/q/",
             },
             id: &self.id,
             steps: &self.steps,
+            claim: self.claim,
         }
     }
 }
@@ -210,6 +230,8 @@
     pub id: &'a str,
     /// Its steps.
     pub steps: &'a [StepSpec],
+    /// What it is for in a play about guarantees.
+    pub claim: Option<Claim>,
 }
 
 /// A plan.
@@ -259,7 +281,10 @@
         let failures = draw_failures(&mut sequence(FAILURES_SEQUENCE), kinds, faults_ms);
         let advised = draw_advised_queue(&mut sequence(ADVISED_SEQUENCE), kinds, faults_ms);
         let policy = advised.policy;
-        for (more_faults, more_jobs) in [outages, failures, (advised.faults, advised.jobs)] {
+        let claims = draw_claims(&mut sequence(CLAIMS_SEQUENCE), kinds, faults_ms);
+        let doubts = draw_doubts(&mut sequence(DOUBTS_SEQUENCE), kinds, faults_ms);
+        let advised = (advised.faults, advised.jobs);
+        for (more_faults, more_jobs) in [outages, failures, advised, claims, doubts] {
             faults.extend(more_faults);
             jobs.extend(more_jobs);
         }
@@ -326,5 +351,7 @@
         repeat_after_ms: random
             .random_bool(0.1)
             .then(|| random.random_range(500..4_000)),
+        cancels_in_doubt: false,
+        claim: None,
     }
 }
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -178,6 +178,9 @@
         steps: (plan.jobs.iter())
             .map(|job| (job.id.clone(), job.steps.clone()))
             .collect(),
+        claims: (plan.jobs.iter())
+            .filter_map(|job| Some((job.id.clone(), job.claim?)))
+            .collect(),
         advised: advised_jobs(&plan),
         confirmed: operator.confirmed(),
         incidents: lock(&site.incidents).clone(),
