Place tasks that may hardly be stopped beside each other

Cause, found by reading: a lasting task of a limited step went to the worker with the least room left, also beside work that may be stopped, so that no worker could be reclaimed as a whole for a guarantee.

Change: among workers that suit it alike, such a task goes to the one with the most accelerators of such tasks. It keeps no room from anybody.

Measured: limited_tasks_leave_whole_worker_reclaimable fails on the code before.

--- a/crates/scheduler/src/availability.rs
+++ b/crates/scheduler/src/availability.rs
@@ -3,6 +3,7 @@
 use crate::group::{GroupKey, TaskKey};
 use crate::planner::Planner;
 use crate::policy::availability::count_endable;
+use crate::worker::Worker;
 
 impl Planner {
     /// Returns whether the tasks that are unavailable at the same time are limited in a group. They are not once its job
@@ -12,6 +13,13 @@
         job.is_some_and(|job| job.step_of(group.group as usize).most_away.is_some())
     }
 
+    /// Returns the accelerators of the tasks on a worker whose steps have a limit.
+    pub(crate) fn sum_limited_accelerators(&self, worker: &Worker) -> i64 {
+        let tasks = worker.tasks.keys().map(|task| task.group);
+        let limited = tasks.filter(|group| self.is_limited(*group));
+        limited.map(|group| self.need(group).accelerators).sum()
+    }
+
     /// Returns how many tasks of a group that are at work may be ended now; none if there is no limit, or if the job has
     /// ended.
     pub(crate) fn count_endable_tasks(&self, group: GroupKey, now_ms: u64) -> Option<usize> {
--- a/crates/scheduler/src/fit.rs
+++ b/crates/scheduler/src/fit.rs
@@ -28,6 +28,8 @@
     pub speed_rank: u8,
     /// Whether nothing runs on the worker, and nothing of the group was placed there.
     pub empty: bool,
+    /// For a group whose unavailable tasks are limited, the accelerators of such tasks on the worker.
+    pub limited_accelerators: Option<i64>,
 }
 
 impl Candidate {
@@ -41,12 +43,16 @@
         self.free -= *need;
         self.slots_left -= 1;
         self.empty = false;
+        if let Some(limited) = &mut self.limited_accelerators {
+            *limited += need.accelerators;
+        }
     }
 
     /// Returns the sort key; the lowest is the best: a worker that is not quarantined, without recent failures, on
-    /// the rack of the data, on a machine of suitable speed, where least is disturbed, on the rack with the fewest free
-    /// accelerators, with the least free capacity left. This keeps whole racks free for gangs.
-    pub fn rank(&self, need: &Resources) -> (bool, bool, bool, u8, u32, i64, i64, i64) {
+    /// the rack of the data, on a machine of suitable speed, where least is disturbed, with the most tasks that may hardly
+    /// be stopped beside another one, on the rack with the fewest free accelerators, with the least free capacity left. This
+    /// keeps whole racks free for gangs, and whole workers reclaimable for guarantees.
+    pub fn rank(&self, need: &Resources) -> (bool, bool, bool, u8, u32, i64, i64, i64, i64) {
         let left = self.free.minus(need);
         (
             self.quarantined,
@@ -54,6 +60,7 @@
             self.off_rack,
             self.speed_rank,
             self.disturbance_percent,
+            -self.limited_accelerators.unwrap_or(0),
             self.rack_free,
             left.accelerators,
             left.cpu_millis,
@@ -229,6 +236,7 @@
         let data_rack = &self.jobs[group.job].step_of(group.group as usize).data_rack;
         let data_rack = data_rack.as_ref().map(|rack| self.racks.find(rack));
         let disturbed = self.kind_if_disturbed(group);
+        let is_limited = self.is_limited(group);
         for (key, worker) in &self.workers {
             let is_held = self.is_held_by_suspect(worker);
             let is_trusted = worker.health.is_trusted(now_ms);
@@ -268,6 +276,7 @@
                 recently_failed: worker.health.has_recent_failure() || is_held,
                 speed_rank: self.speed_rank(use_of_speed, key),
                 empty: worker.is_empty(),
+                limited_accelerators: is_limited.then(|| self.sum_limited_accelerators(worker)),
             });
         }
         for candidate in &mut candidates {
--- a/crates/scheduler/src/headroom.rs
+++ b/crates/scheduler/src/headroom.rs
@@ -96,6 +96,7 @@
                 recently_failed: worker.health.has_recent_failure(),
                 speed_rank: self.speed_rank(UseOfSpeed::Urgent, key),
                 empty: worker.is_empty(),
+                limited_accelerators: None,
             })
             .collect();
         candidates.sort_by_key(|candidate| candidate.rack);
--- a/crates/scheduler/tests/guarantees.rs
+++ b/crates/scheduler/tests/guarantees.rs
@@ -78,6 +78,29 @@
     );
 }
 
+/// A task that may not be away filled the gap beside work that may be stopped, so that no worker could be reclaimed as a whole.
+#[test]
+fn limited_tasks_leave_whole_worker_reclaimable() {
+    let mut site = Site::new(2, &[("desk", 8)]);
+    let first = site.submit("plant", 2, lasting(4, 1, Some(0)));
+    site.play(500);
+    let usual = site.submit("plant", 2, long(1, 6));
+    site.play(500);
+    let second = site.submit("plant", 2, lasting(1, 1, Some(0)));
+    site.play(2_000);
+    assert!(
+        site.count_by_worker(&first)
+            .keys()
+            .eq(site.count_by_worker(&second).keys())
+    );
+    let urgent = site.submit("desk", 0, long(1, 8));
+    site.play(RECLAIM_MS);
+    assert_eq!(
+        (site.count_running(&urgent), site.count_stopped(&usual)),
+        (1, 1)
+    );
+}
+
 /// Work of lower priority is stopped before urgent work, however much more that discards.
 #[test]
 fn urgent_work_is_stopped_last() {
