Hold the tasks of jobs that wait in memory up to a bound

Cause: the planner built the tasks of all jobs that are due.

Change: tasks are built within a quarter of the VM's memory, in the order of acceptance; half of the bound is free for all, of the rest each organisation and priority has a part, so that a backlog keeps nobody else waiting.

Why this works: what can start at once is far less than the bound.

--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -123,6 +123,12 @@
 /// written: what collected requests and the process itself leave.
 const BUFFERED_PERCENT: u64 = 60;
 
+/// The share of the VM's memory for the tasks of jobs that wait or run: a quarter.
+const TASKS_SHARE: u64 = 4;
+
+/// Memory that the planner needs for a task.
+const TASK_BYTES: u64 = 320;
+
 /// Descriptors that are reserved for files.
 const FILE_FDS: u64 = 200;
 
@@ -187,6 +193,11 @@
         (self.memory_mb * 1_024 * 1_024 / COLLECTED_SHARE) as usize
     }
 
+    /// Returns how many tasks of jobs that are due the planner holds in memory.
+    pub(crate) fn max_built_tasks(&self) -> usize {
+        (self.memory_mb * 1_024 * 1_024 / TASKS_SHARE / TASK_BYTES) as usize
+    }
+
     /// Returns how many connections an address may have.
     pub(crate) fn max_connections(&self, share: DoorShare) -> usize {
         let sockets = self.max_fds.saturating_sub(FILE_FDS);
--- a/crates/control/src/term.rs
+++ b/crates/control/src/term.rs
@@ -129,6 +129,7 @@
         reclaim_ms: bounds.reclaim_ms,
         unresponsive_ms: UNRESPONSIVE_AFTER_MS,
         remote_slowdown: bounds.remote_slowdown.max(1.0).round() as u64,
+        max_built_tasks: node.settings.limits.max_built_tasks(),
     }
 }
 
--- a/crates/scheduler/src/events.rs
+++ b/crates/scheduler/src/events.rs
@@ -28,8 +28,12 @@
         let shares = &mut self.policy.shares;
         let account = shares.open_account(&stored.organisation, &stored.service);
         let job = Job::new(stored, account, order, now_ms);
+        let is_scheduled = job.stored.request.timing.times > 0;
         let key = self.jobs.insert(job);
         self.by_job.insert(id, key);
+        if !is_scheduled {
+            self.build_due_groups(key, 0, now_ms);
+        }
         self.changed = true;
     }
 
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -71,7 +71,7 @@
 impl Job {
     pub fn new(mut stored: StoredJob, account: AccountKey, order: u64, now_ms: u64) -> Job {
         let text: Arc<str> = std::mem::take(&mut stored.request.text).into();
-        let mut job = Job {
+        Job {
             stored,
             account,
             text,
@@ -86,15 +86,11 @@
             over: false,
             idle_since_ms: None,
             is_idle_logged: false,
-        };
-        if job.stored.request.timing.times == 0 {
-            job.build_occurrences(1, now_ms);
         }
-        job
     }
 
     /// Returns for how many occurrences the groups are built.
-    fn built_occurrences(&self) -> u32 {
+    pub fn built_occurrences(&self) -> u32 {
         (self.groups.len() / self.stored.request.steps.len().max(1)) as u32
     }
 
@@ -108,14 +104,15 @@
         }
     }
 
-    /// Builds the groups of the occurrences that are due at `unix_ms`.
-    pub fn build_due_occurrences(&mut self, unix_ms: u64, now_ms: u64) {
-        let timing = self.stored.request.timing;
-        let mut count = self.built_occurrences();
-        while count < timing.occurrences() && timing.due_unix_ms(count) <= unix_ms {
-            count += 1;
-        }
-        self.build_occurrences(count, now_ms);
+    /// Returns whether the groups of all occurrences are built.
+    pub fn is_built(&self) -> bool {
+        self.built_occurrences() == self.stored.request.timing.occurrences()
+    }
+
+    /// Returns the number of tasks of one occurrence.
+    pub fn count_tasks_of_occurrence(&self) -> usize {
+        let steps = self.stored.request.steps.iter();
+        steps.map(|step| step.count as usize).sum()
     }
 
     /// Returns whether it counts as begun: a run of it has started, or is about to. A start without an answer may never
@@ -137,8 +134,7 @@
 
     /// Returns whether all tasks of all occurrences are done.
     pub fn is_done(&self) -> bool {
-        self.built_occurrences() == self.stored.request.timing.occurrences()
-            && self.groups.iter().all(Group::is_done)
+        self.is_built() && self.groups.iter().all(Group::is_done)
     }
 
     /// Returns the step that a group belongs to.
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod advice;
 mod availability;
+mod backlog;
 mod configuration;
 mod counts;
 mod coverage;
--- a/crates/scheduler/src/planner.rs
+++ b/crates/scheduler/src/planner.rs
@@ -5,6 +5,7 @@
 use slotmap::SlotMap;
 
 use crate::advice::{AllowedShare, AskingVms};
+use crate::backlog::BuiltTasks;
 use crate::configuration::{Advice, Configuration};
 use crate::counts::RunCounts;
 use crate::group::{GroupKey, JobKey, Phase, Task, TaskKey};
@@ -40,6 +41,8 @@
     pub unresponsive_ms: u64,
     /// Factor by which a task is slower away from its data.
     pub remote_slowdown: u64,
+    /// How many tasks of jobs that are due are held in memory, as far as that can be chosen.
+    pub max_built_tasks: usize,
 }
 
 /// A decision about a job or a worker, for the log.
@@ -98,6 +101,8 @@
     pub(crate) unstored_done: Vec<UnstoredDone>,
     /// What earlier planners have handed over and the next flush stores.
     pub(crate) taken_in: Vec<HandOverName>,
+    /// The tasks that are built.
+    pub(crate) built_tasks: BuiltTasks,
     /// Jobs that were cancelled before their submission, since the last flush.
     pub(crate) unsubmitted: Vec<JobId>,
     /// The state of the decisions under load.
@@ -142,6 +147,7 @@
             idle_checked_ms: now_ms,
             unstored_done: Vec::new(),
             taken_in: Vec::new(),
+            built_tasks: BuiltTasks::default(),
             unsubmitted: Vec::new(),
             policy: Policy::default(),
             unix_ahead_ms: 0,
--- a/crates/scheduler/src/restore.rs
+++ b/crates/scheduler/src/restore.rs
@@ -25,7 +25,8 @@
         };
         let groups = || record.iter().flat_map(|record| &record.groups);
         let recorded = groups().map(|group| group.occurrence.saturating_add(1));
-        self.jobs[key].build_occurrences(recorded.max().unwrap_or(0), now_ms);
+        let recorded = recorded.max().unwrap_or(0);
+        self.build_occurrences(key, recorded, now_ms);
         for group in groups() {
             self.restore_group(key, group, now_ms);
         }
--- a/crates/scheduler/src/turns.rs
+++ b/crates/scheduler/src/turns.rs
@@ -57,15 +57,13 @@
     fn list_ready_groups(&mut self, now_ms: u64, unix_ms: u64) -> Vec<GroupKey> {
         let mut ready = Vec::new();
         let mut urgent = Vec::new();
+        self.build_backlog(now_ms, unix_ms + EARLY_START_MS);
         let jobs: Vec<JobKey> = self.jobs.keys().collect();
         for key in jobs {
-            let lead_ms = self.advice_lead_ms(key);
             let job = &mut self.jobs[key];
             if job.state.is_final() {
                 continue;
             }
-            // Advice about the steps of an occurrence is asked for before it is due.
-            job.build_due_occurrences(unix_ms + EARLY_START_MS + lead_ms, now_ms);
             for group in 0..job.groups.len() {
                 let due = unix_ms + EARLY_START_MS
                     >= job
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -28,6 +28,7 @@
         reclaim_ms: 2_900,
         unresponsive_ms: 2_900,
         remote_slowdown: 3,
+        max_built_tasks: 100_000,
     }
 }
 
