--- a/crates/control/src/cancels.rs
+++ b/crates/control/src/cancels.rs
@@ -127,10 +127,12 @@
     })
 }
 
-/// Returns whether a caller may cancel an accepted job.
+/// Returns whether a caller may cancel an accepted job. One that cannot be read belongs to nobody known.
 fn may_cancel(caller: &Admitted<'_>, item: &Item) -> bool {
-    let owner = serde_json::from_slice::<JobOwner>(&item.value);
-    owner.is_ok_and(|owner| caller.may_see(&owner.organisation))
+    match serde_json::from_slice::<JobOwner>(&item.value) {
+        Ok(owner) => caller.may_see(&owner.organisation),
+        Err(_) => true,
+    }
 }
 
 /// Admits a cancel of an unknown job; a refusal if there are too many.
--- a/crates/scheduler/src/preempt.rs
+++ b/crates/scheduler/src/preempt.rs
@@ -94,7 +94,7 @@
             }
             return Vec::new();
         };
-        if plan.loss > self.max_acceptable_loss(group, waited_ms) {
+        if !must_reclaim && plan.loss > self.max_acceptable_loss(group, waited_ms) {
             return self.choose_withheld(group, plan, waited_ms, now_ms);
         }
         let id = self.jobs[group.job].stored.id;
@@ -176,12 +176,9 @@
     }
 
     /// Returns the most work, in core-milliseconds, that may be discarded so that a group starts now. It is higher
-    /// while the group can still be on time, counting the time of the stops, and unbounded when the guarantee of its
+    /// while the group can still be on time, counting the time of the stops. It does not bind if the guarantee of its
     /// organisation would be broken otherwise.
     fn max_acceptable_loss(&self, group: GroupKey, waited_ms: u64) -> i64 {
-        if self.must_reclaim(group, waited_ms) {
-            return i64::MAX;
-        }
         let job = &self.jobs[group.job];
         let stop_ms = self.limits.stop_grace_ms + ORDER_DELIVERY_MARGIN_MS;
         let slack_ms = job
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -47,11 +47,7 @@
         | FaultKind::StoreLate
         | FaultKind::StoreSilent => harm_store(&site, &fault).await,
         FaultKind::StoreFallsSilent => Ok(let_store_fall_silent(&site, &fault).await),
-        FaultKind::CapacityTaken => {
-            // This is traffic, and no fault.
-            note_begin(&site, &fault, "all accelerators");
-            return sleep(Duration::from_millis(fault.for_ms)).await;
-        }
+        FaultKind::CapacityTaken => return note_capacity_taken(&site, &fault).await,
         FaultKind::AdviceSilent | FaultKind::AdviceSlow | FaultKind::AdviceBusy => {
             note_begin(&site, &fault, "the advice service");
             let lasts = Duration::from_millis(fault.for_ms);
@@ -75,6 +71,12 @@
     });
 }
 
+/// Notes when work takes all accelerators. That is traffic, so it is no disturbance of the checks.
+async fn note_capacity_taken(site: &Site, fault: &Fault) {
+    note_begin(site, fault, "all accelerators");
+    sleep(Duration::from_millis(fault.for_ms)).await;
+}
+
 fn note_begin(site: &Site, fault: &Fault, whom: &str) {
     site.note(format!("{} of {whom}, {} ms", fault.kind, fault.for_ms));
 }
