Look into guarantees once a planning pass

Cause: since preemption may stop work that is not covered, each urgent group that waits for longer than 1.45 s in vain summed up the needs of all organisations and all coverage anew, so that a pass took time by the square of the jobs.

Change: a pass finds out once which organisations are within their guarantees and what is covered, and does not look again for stops for what is no smaller than what it found no room for.

--- a/crates/scheduler/src/coverage.rs
+++ b/crates/scheduler/src/coverage.rs
@@ -5,6 +5,7 @@
 use crate::group::{GroupKey, JobKey, TaskKey};
 use crate::planner::Planner;
 use crate::policy::guarantees::{UrgentJob, divide_guarantee};
+use crate::spec::Resources;
 
 /// The work that may not be stopped for a guarantee, as the guarantee of its own organisation covers it.
 #[derive(Debug, Default)]
@@ -21,13 +22,52 @@
     }
 }
 
+/// What a planning pass has found out about guarantees, each once: many groups may wait for room in vain.
+#[derive(Debug, Default)]
+pub(crate) struct Reclaims {
+    /// The organisations whose unfinished urgent jobs together need no more accelerators than are guaranteed.
+    within: Option<HashSet<String>>,
+    coverage: Option<Coverage>,
+    /// Needs and numbers of tasks, by service, for which no stops make room on any worker.
+    in_vain: Vec<(String, Resources, usize)>,
+}
+
+impl Reclaims {
+    /// Returns whether an urgent job is covered by the guarantee of its organisation as a whole.
+    pub fn is_guaranteed(&mut self, planner: &Planner, key: JobKey) -> bool {
+        let within = self
+            .within
+            .get_or_insert_with(|| planner.list_organisations_within());
+        within.contains(&planner.jobs[key].stored.organisation)
+    }
+
+    /// Returns the work that guarantees cover.
+    pub fn coverage(&mut self, planner: &Planner) -> &Coverage {
+        self.coverage.get_or_insert_with(|| planner.find_coverage())
+    }
+
+    /// Records that no stops make room for so many tasks that may run on all workers of a service.
+    pub fn record_in_vain(&mut self, service: &str, need: Resources, count: usize) {
+        self.in_vain.push((service.to_string(), need, count));
+    }
+
+    /// Returns whether it was found that no stops make room for as little as that.
+    pub fn is_in_vain(&self, service: &str, need: &Resources, count: usize) -> bool {
+        self.in_vain.iter().any(|(known, least, least_count)| {
+            known == service && least.fits(need) && *least_count <= count
+        })
+    }
+}
+
 impl Planner {
-    /// Returns whether an urgent job is covered by the guarantee of its organisation: all its unfinished urgent jobs
-    /// together need no more accelerators than are guaranteed.
-    pub(crate) fn is_guaranteed(&self, key: JobKey) -> bool {
-        let organisation = self.jobs[key].stored.organisation.as_str();
-        let needed = self.sum_urgent_needs().remove(organisation).unwrap_or(0);
-        needed <= self.guaranteed.get(organisation).copied().unwrap_or(0)
+    /// Returns the organisations with unfinished urgent jobs that need no more accelerators than are guaranteed.
+    fn list_organisations_within(&self) -> HashSet<String> {
+        let needs = self.sum_urgent_needs().into_iter();
+        let guaranteed = |name: &str| self.guaranteed.get(name).copied().unwrap_or(0);
+        needs
+            .filter(|(name, needed)| *needed <= guaranteed(name))
+            .map(|(name, _)| name.to_string())
+            .collect()
     }
 
     /// Returns the accelerators that all unfinished urgent jobs of each organisation need together.
--- a/crates/scheduler/src/preempt.rs
+++ b/crates/scheduler/src/preempt.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashSet};
 
-use crate::coverage::Coverage;
+use crate::coverage::{Coverage, Reclaims};
 use crate::fit::{Candidate, split_by_rack};
 use crate::group::{GroupKey, Phase, TaskKey};
 use crate::overdue::Reach;
@@ -59,7 +59,12 @@
     /// Preempts other work for an urgent group that found no free capacity. If that would discard more work than is
     /// acceptable now, stops nothing and returns the workers of those tasks whose capacity is to be withheld from other
     /// work.
-    pub(crate) fn preempt_for_group(&mut self, group: GroupKey, now_ms: u64) -> Vec<WorkerKey> {
+    pub(crate) fn preempt_for_group(
+        &mut self,
+        group: GroupKey,
+        reclaims: &mut Reclaims,
+        now_ms: u64,
+    ) -> Vec<WorkerKey> {
         let Some(job) = self.jobs.get(group.job) else {
             return Vec::new();
         };
@@ -81,16 +86,16 @@
             return Vec::new();
         }
         let waited_ms = now_ms.saturating_sub(group_state.ready_ms.unwrap_or(now_ms));
-        let must_reclaim = self.must_reclaim(group, waited_ms);
+        let must_reclaim = self.must_reclaim(group, reclaims, waited_ms);
         let (count, racks) = (waiting.len(), RackChoice::Preferred);
         let usual = self.plan_preemption(group, count, racks, Stoppable::LessUrgent, now_ms);
         let plan = match must_reclaim {
-            true => usual.or_else(|| self.plan_reclaim(group, count, now_ms)),
+            true => usual.or_else(|| self.plan_reclaim(group, count, reclaims, now_ms)),
             false => usual,
         };
         let Some(plan) = plan else {
             if must_reclaim {
-                self.record_shortfall(group, waited_ms, now_ms);
+                self.record_shortfall(group, reclaims, waited_ms, now_ms);
             }
             return Vec::new();
         };
@@ -192,33 +197,59 @@
     }
 
     /// Returns whether a group has waited so long that its organisation's guarantee would be broken without stops.
-    fn must_reclaim(&self, group: GroupKey, waited_ms: u64) -> bool {
+    fn must_reclaim(&self, group: GroupKey, reclaims: &mut Reclaims, waited_ms: u64) -> bool {
         let stop_ms = self.limits.stop_grace_ms + ORDER_DELIVERY_MARGIN_MS;
         let longest_wait_ms = self
             .limits
             .reclaim_ms
             .saturating_sub(stop_ms + RECLAIM_MARGIN_MS);
-        waited_ms >= longest_wait_ms && self.is_guaranteed(group.job)
+        waited_ms >= longest_wait_ms && reclaims.is_guaranteed(self, group.job)
     }
 
     /// Plans the stops of work that no guarantee covers. The racks that the group prefers come before the choice of
     /// victims: away from its data, it holds its room for longer.
-    fn plan_reclaim(&self, group: GroupKey, count: usize, now_ms: u64) -> Option<PreemptionPlan> {
-        let coverage = self.find_coverage();
-        let not_covered = Stoppable::NotCovered(&coverage);
+    fn plan_reclaim(
+        &self,
+        group: GroupKey,
+        count: usize,
+        reclaims: &mut Reclaims,
+        now_ms: u64,
+    ) -> Option<PreemptionPlan> {
+        let job = &self.jobs[group.job];
+        let need = self.need(group);
+        if reclaims.is_in_vain(&job.stored.service, &need, count) {
+            return None;
+        }
+        let not_covered = Stoppable::NotCovered(reclaims.coverage(self));
         let plan = |racks, stoppable| self.plan_preemption(group, count, racks, stoppable, now_ms);
-        plan(RackChoice::Preferred, not_covered)
-            .or_else(|| plan(RackChoice::Any, Stoppable::LessUrgent))
-            .or_else(|| plan(RackChoice::Any, not_covered))
+        let step = job.step_of(group.group as usize);
+        let prefers_racks = step.data_rack.is_some() || step.one_rack;
+        let near = plan(RackChoice::Preferred, not_covered);
+        let found = match prefers_racks {
+            true => near
+                .or_else(|| plan(RackChoice::Any, Stoppable::LessUrgent))
+                .or_else(|| plan(RackChoice::Any, not_covered)),
+            false => near,
+        };
+        if found.is_none() && self.is_unrestricted(group, Reach::Usual, now_ms) {
+            reclaims.record_in_vain(&job.stored.service, need, count);
+        }
+        found
     }
 
     /// Logs, once, that no stops make room for a group although its organisation's guarantee covers it.
-    fn record_shortfall(&mut self, group: GroupKey, waited_ms: u64, now_ms: u64) {
+    fn record_shortfall(
+        &mut self,
+        group: GroupKey,
+        reclaims: &mut Reclaims,
+        waited_ms: u64,
+        now_ms: u64,
+    ) {
         let state = &mut self.jobs[group.job].groups[group.group as usize];
         if std::mem::replace(&mut state.is_shortfall_logged, true) {
             return;
         }
-        let coverage = self.find_coverage();
+        let coverage = reclaims.coverage(self);
         let (mut covered, mut limited, mut changing) = (0, 0, 0);
         let candidates = self.candidates(group, Reach::Usual, now_ms);
         for candidate in &candidates {
--- a/crates/scheduler/src/schedule.rs
+++ b/crates/scheduler/src/schedule.rs
@@ -4,6 +4,7 @@
 
 use slotmap::SecondaryMap;
 
+use crate::coverage::Reclaims;
 use crate::fit::{
     Candidate, TicketUse, find_best_candidate, find_places, find_places_on_one_rack,
     list_like_speeds,
@@ -39,6 +40,7 @@
         self.stop_remaining_members(now_ms);
         self.settle_reservations(now_ms);
         let mut withheld = Withheld::default();
+        let mut reclaims = Reclaims::default();
         let turns = self.list_turns(now_ms, unix_ms);
         let ready: Vec<GroupKey> = turns.iter().map(|turn| turn.claim.group).collect();
         let mut waits_for_advice = Vec::new();
@@ -51,7 +53,7 @@
             self.place_group(group, &mut withheld, now_ms);
             withheld
                 .workers
-                .extend(self.preempt_for_group(group, now_ms));
+                .extend(self.preempt_for_group(group, &mut reclaims, now_ms));
             waits_for_advice.extend(self.wait_for_advice(group, now_ms));
         }
         self.request_advice(waits_for_advice, &withheld, now_ms);
--- a/crates/scheduler/tests/guarantees.rs
+++ b/crates/scheduler/tests/guarantees.rs
@@ -5,6 +5,8 @@
 
 mod support;
 
+use std::time::{Duration, Instant};
+
 use rstest::rstest;
 use scheduler::prelude::*;
 use support::guarantee_site::{RECLAIM_MS, Site, gang, lasting, long};
@@ -245,3 +247,32 @@
         reasons[0]
     );
 }
+
+/// A planner that plans for longer loses the lead.
+const LEAD_TTL: Duration = Duration::from_secs(1);
+
+/// Guarantees that cannot be met were looked into for each waiting job anew, so that a pass took time by the square of
+/// their number, and nodes answered callers too late.
+#[test]
+fn many_jobs_in_vain_are_looked_into_once() {
+    let mut site = Site::new(8, &[("desk", 8), ("lab", 64)]);
+    site.submit("lab", 0, long(64, 1));
+    site.play(500);
+    // They need no accelerators, but processor time that covered work holds.
+    let busy = StepSpec {
+        need: Resources {
+            cpu_millis: 64_000,
+            memory_mb: 1,
+            accelerators: 0,
+        },
+        ..long(1, 0)
+    };
+    for _ in 0..2_000 {
+        site.submit("desk", 0, busy.clone());
+    }
+    site.play(2_000);
+    let began = Instant::now();
+    site.play(500);
+    let pass = began.elapsed() / 10;
+    assert!(pass < LEAD_TTL, "a pass takes {pass:?}");
+}
